Workspace and decision state machines

Gate, entry, queue, records, replica and documents as pure functions of state, input and time. Ruled out: state machines inside the I/O tasks; they could not be explored.

--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Listener for callers: HTTP requests in, whole answers out.
--- /dev/null
+++ b/crates/core/src/call.rs
@@ -0,0 +1,108 @@
+//! Messages about one call between an entry and a gate.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// Deepest chain of calls that the system distinguishes.
+pub const MAX_DEPTH: u8 = 7;
+
+/// A call that an entry asks a gate to run.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Offer {
+    /// Incarnation of the gate that may run it.
+    pub incarnation: id::Incarnation,
+    /// The call's id.
+    pub id: id::CallId,
+    /// Service that the caller asked for.
+    pub service: id::ServiceName,
+    /// Route that the request matched.
+    pub route: id::RouteName,
+    /// 0 for the public, 1 and more for calls between services.
+    pub depth: u8,
+    /// Time left until the deadline.
+    pub remaining: Duration,
+    /// Whether the call may run at most once.
+    pub once: bool,
+    /// Digest of method, path and body; a ticket stays with one request.
+    pub fingerprint: u64,
+}
+
+/// Asks a gate to reply for a call that it may know, or to void its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Query {
+    /// Incarnation of the gate that the call was offered to.
+    pub incarnation: id::Incarnation,
+    /// The call's id.
+    pub id: id::CallId,
+}
+
+quick_error! {
+    /// Why a call was not run, and never will be under its id.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+    pub enum Refusal {
+        /// No document for the service is in force here.
+        NoDocument { display("no document of this service is in force") }
+        /// The document has no such route.
+        NoRoute { display("the service has no route for this method and path") }
+        /// The route is for calls between services only.
+        NotPublic { display("the route is closed to the public") }
+        /// No gate of the service is known or reachable.
+        NoTarget { display("no target of this service is reachable") }
+        /// The target or its daemon is leaving.
+        Draining { display("the target is leaving") }
+        /// Too many calls wait already.
+        QueueFull { display("the queue is full") }
+        /// The wait would outlast the deadline.
+        Late { display("the deadline can not be met") }
+        /// The target refused the call before it began.
+        Shed { display("the target shed the call") }
+        /// The target accepts no connection.
+        Unreachable { display("could not connect to the target") }
+        /// The id was voided by an earlier question or refusal.
+        Void { display("the ticket is void") }
+        /// The caller left before the call began.
+        Cancelled { display("the call was withdrawn before it began") }
+        /// The gate that the call was sent to no longer exists.
+        WrongIncarnation { display("the gate restarted before the call reached it") }
+        /// The ticket belongs to another service.
+        WrongService { display("the ticket belongs to another service") }
+        /// The ticket was already used with a different request.
+        WrongRequest { display("the ticket was used with a different request") }
+        /// A bounded ring in the daemon is full.
+        Overloaded { display("the daemon is overloaded") }
+    }
+}
+
+quick_error! {
+    /// Why nobody can say whether a call ran.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+    pub enum Doubt {
+        /// The incarnation that may have run the call is gone.
+        GateGone { display("the gate that may have run the call is gone") }
+        /// The gate did not reply before the deadline.
+        Silent { display("the gate did not reply before the deadline") }
+        /// The target broke off after the request was sent.
+        TargetLost { display("the target broke off after the request was sent") }
+        /// The call ran; its answer was let go.
+        AnswerNotKept { display("the call ran and its answer is no longer kept") }
+        /// The ticket is older than what the gate remembers.
+        TicketExpired { display("the ticket is older than what the gate remembers") }
+        /// An earlier attempt may have run before this refusal.
+        EarlierAttempt { display("an earlier attempt may have run") }
+    }
+}
+
+/// A gate's final word on an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reply {
+    /// The call ran; the answer goes with this reply.
+    Answer,
+    /// The call did not run and never will under this id.
+    NotRun(Refusal),
+    /// The call may have run.
+    Unknown(Doubt),
+}
--- /dev/null
+++ b/crates/core/src/gate.rs
@@ -0,0 +1,549 @@
+//! The gate: stands alone before one target and decides what starts when.
+//!
+//! Safety rests on three rules. A start is recorded before the call is handed
+//! to the target. A refusal is recorded as void before it is said. An id that
+//! is void, expired or bound to another incarnation is never started.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::call::{self, Doubt, Refusal, Reply};
+use crate::hint;
+use crate::id;
+use crate::queue;
+use crate::records::{self, Known, State};
+use crate::service;
+use crate::size;
+
+/// A target that has not announced itself for this long gets no new work.
+pub const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(3);
+/// Kept answers are let go after this long.
+pub const ANSWER_TTL: Duration = Duration::from_mins(10);
+/// Size of kept answers in all, bytes.
+pub const ANSWERS_MAX_BYTES: u64 = 16 << 20;
+/// Ids that a gate remembers.
+pub const RECORDS_MAX: usize = 1 << 16;
+const OUTCOMES: u32 = 8;
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Service that the target serves.
+    pub service: id::ServiceName,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Time that it takes to warm up after its first announcement.
+    pub cold_start: Duration,
+}
+
+/// What a target made of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// It answered.
+    Answered {
+        /// Size of the answer's body, bytes.
+        bytes: u64,
+        /// Whether the answer is a server error.
+        failed: bool,
+    },
+    /// No byte of the request was sent.
+    NotStarted(Refusal),
+    /// The connection broke after the request may have been sent.
+    Lost,
+}
+
+/// What happens to a gate.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// An entry offers a call.
+    Offer(call::Offer),
+    /// An entry asks for a reply to an id, or to void it.
+    Query(call::Query),
+    /// The caller left.
+    Withdraw(call::Query),
+    /// The target is done with a call.
+    Finished(id::CallId, Outcome),
+    /// The target announced itself.
+    Announced(Announcement),
+    /// A service document came into force.
+    Document(service::Service),
+    /// The daemon is about to stop.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the embedder has to do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    /// Send the call to the target, unless the deadline has passed by then.
+    Start {
+        /// The call.
+        id: id::CallId,
+        /// When it must be answered.
+        deadline: Duration,
+    },
+    /// Tell the target that the answer is no longer wanted.
+    Cancel(id::CallId),
+    /// Reply to everybody who waits for this id.
+    Reply(id::CallId, Reply),
+    /// Keep the answer of this id for resends.
+    Keep(id::CallId),
+    /// Let the kept answer of this id go.
+    Forget(id::CallId),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Running {
+    route: id::RouteName,
+    once: bool,
+    long: bool,
+    started: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Target {
+    announcement: Announcement,
+    first_heard: Duration,
+    heard: Duration,
+}
+
+/// Rules that can be switched off to show that the proofs notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Safeguards {
+    /// Refuse offers that name another incarnation.
+    pub incarnation: bool,
+    /// Record a refusal as void before it is said.
+    pub void: bool,
+    /// Remember ids that were started.
+    pub records: bool,
+    /// Refuse unseen ids below the low-water mark.
+    pub low_water: bool,
+}
+
+impl Safeguards {
+    /// All rules, as the daemon runs.
+    pub const ALL: Self = Self {
+        incarnation: true,
+        void: true,
+        records: true,
+        low_water: true,
+    };
+}
+
+/// State of one gate.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Gate {
+    incarnation: id::Incarnation,
+    safeguards: Safeguards,
+    document: Option<service::Service>,
+    target: Option<Target>,
+    draining: bool,
+    waiting: Vec<queue::Waiting>,
+    running: BTreeMap<id::CallId, Running>,
+    records: records::Records,
+    kept: VecDeque<(id::CallId, u64, Duration)>,
+    kept_bytes: u64,
+    times: size::Times,
+    outcomes: VecDeque<bool>,
+}
+
+impl Gate {
+    /// A gate that remembers up to `records_max` ids.
+    #[must_use]
+    pub fn new(incarnation: id::Incarnation, records_max: usize, safeguards: Safeguards) -> Self {
+        Self {
+            incarnation,
+            safeguards,
+            document: None,
+            target: None,
+            draining: false,
+            waiting: Vec::new(),
+            running: BTreeMap::new(),
+            records: records::Records::new(records_max),
+            kept: VecDeque::new(),
+            kept_bytes: 0,
+            times: size::Times::default(),
+            outcomes: VecDeque::new(),
+        }
+    }
+
+    /// Takes one input and returns what has to be done, in order.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        match input {
+            Input::Offer(offer) => self.offer(now, &offer, &mut out),
+            Input::Query(query) => self.query(query, &mut out),
+            Input::Withdraw(query) => self.withdraw(query, &mut out),
+            Input::Finished(id, outcome) => self.finished(now, id, outcome, &mut out),
+            Input::Announced(announcement) => self.announced(now, announcement),
+            Input::Document(document) => self.document = Some(document),
+            Input::Drain => self.draining = true,
+            Input::Tick => self.expire_answers(now, &mut out),
+        }
+        self.refuse_waiting(now, &mut out);
+        self.start_waiting(now, &mut out);
+        self.trim(&mut out);
+        out
+    }
+
+    /// The incarnation that this gate answers for.
+    #[must_use]
+    pub fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+
+    /// Whether nothing waits or runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    /// Number of ids remembered.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.records.len()
+    }
+
+    /// The target's service, while it announces itself and is not leaving.
+    #[must_use]
+    pub fn serving(&self, now: Duration) -> Option<&id::ServiceName> {
+        self.refusal_now(now)
+            .is_none()
+            .then_some(())
+            .and(self.target.as_ref())
+            .map(|target| &target.announcement.service)
+    }
+
+    /// The load as entries should see it.
+    #[must_use]
+    pub fn hint(&self, now: Duration) -> hint::Hint {
+        let failed = self.outcomes.iter().filter(|failed| **failed).count();
+        hint::Hint {
+            running: count(self.running.len()),
+            waiting: count(self.waiting.len()),
+            slots: self.open_slots(now),
+            mean: self.times.overall(),
+            failing: count(failed) * 2 > OUTCOMES,
+        }
+    }
+
+    fn offer(&mut self, now: Duration, offer: &call::Offer, out: &mut Vec<Output>) {
+        let id = offer.id;
+        if self.safeguards.incarnation && offer.incarnation != self.incarnation {
+            out.push(reply_not_run(id, Refusal::WrongIncarnation));
+            return;
+        }
+        match self.known(id) {
+            Known::Record(record) => self.resend(id, record, Some(offer.fingerprint), out),
+            Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
+            Known::New => match self.judge(now, offer) {
+                Err(refusal) => self.refuse(id, refusal, Some(offer.fingerprint), out),
+                Ok(waiting) => {
+                    self.record(id, State::Waiting, Some(offer.fingerprint));
+                    self.waiting.push(waiting);
+                }
+            },
+        }
+    }
+
+    fn known(&self, id: id::CallId) -> Known {
+        match self.records.known(id) {
+            Known::Expired if !self.safeguards.low_water => Known::New,
+            known => known,
+        }
+    }
+
+    fn resend(
+        &self,
+        id: id::CallId,
+        record: records::Record,
+        fingerprint: Option<u64>,
+        out: &mut Vec<Output>,
+    ) {
+        if differs(record.fingerprint, fingerprint) {
+            out.push(reply_not_run(id, Refusal::WrongRequest));
+            return;
+        }
+        let reply = match record.state {
+            State::Waiting | State::Running => return,
+            State::Done { kept: true } => Reply::Answer,
+            State::Done { kept: false } => Reply::Unknown(Doubt::AnswerNotKept),
+            State::Lost => Reply::Unknown(Doubt::TargetLost),
+            State::Void(refusal) => Reply::NotRun(refusal),
+        };
+        out.push(Output::Reply(id, reply));
+    }
+
+    fn judge(&self, now: Duration, offer: &call::Offer) -> Result<queue::Waiting, Refusal> {
+        if let Some(refusal) = self.refusal_now(now) {
+            return Err(refusal);
+        }
+        if self.target.as_ref().map(|t| &t.announcement.service) != Some(&offer.service) {
+            return Err(Refusal::WrongService);
+        }
+        let document = self.document.as_ref().ok_or(Refusal::NoDocument)?;
+        let route = document.route_named(&offer.route);
+        let stated = route.map_or(service::Size::Learned, |r| r.size);
+        let long = self.times.is_long(&offer.route, stated);
+        let same_class = |w: &&queue::Waiting| (w.depth == 0) == (offer.depth == 0);
+        let ahead = self.waiting.iter().filter(same_class).count();
+        let slots = self.slots(now);
+        if count(ahead) >= document.limits.queue && !slots.admits(offer.depth, long) {
+            return Err(Refusal::QueueFull);
+        }
+        let mean = self.times.mean(&offer.route);
+        let overall = self.times.overall();
+        let wait = queue::expected_wait(&self.waiting, offer.depth, long, slots, overall);
+        if wait > offer.remaining || offer.remaining.is_zero() {
+            return Err(Refusal::Late);
+        }
+        Ok(queue::Waiting {
+            id: offer.id,
+            route: offer.route.clone(),
+            depth: offer.depth,
+            long,
+            once: offer.once || route.is_some_and(|r| !r.repeatable),
+            arrived: now,
+            deadline: now + offer.remaining,
+            mean,
+        })
+    }
+
+    fn refusal_now(&self, now: Duration) -> Option<Refusal> {
+        let Some(target) = &self.target else {
+            return Some(Refusal::NoTarget);
+        };
+        if self.draining || target.announcement.draining {
+            return Some(Refusal::Draining);
+        }
+        (now > target.heard + ANNOUNCEMENT_TTL).then_some(Refusal::NoTarget)
+    }
+
+    fn query(&mut self, query: call::Query, out: &mut Vec<Output>) {
+        let id = query.id;
+        if self.safeguards.incarnation && query.incarnation != self.incarnation {
+            out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
+            return;
+        }
+        match self.records.known(id) {
+            Known::Record(record) => {
+                if record.state == State::Waiting {
+                    self.unqueue(id);
+                    self.refuse(id, Refusal::Void, None, out);
+                } else {
+                    self.resend(id, record, None, out);
+                }
+            }
+            Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
+            Known::New => self.refuse(id, Refusal::Void, None, out),
+        }
+    }
+
+    fn withdraw(&mut self, query: call::Query, out: &mut Vec<Output>) {
+        let id = query.id;
+        if query.incarnation != self.incarnation {
+            return;
+        }
+        if let Some(running) = self.running.get(&id) {
+            if !running.once {
+                out.push(Output::Cancel(id));
+            }
+            return;
+        }
+        let unsettled =
+            !matches!(self.records.known(id), Known::Record(r) if r.state != State::Waiting);
+        if unsettled && self.records.known(id) != Known::Expired {
+            self.unqueue(id);
+            self.refuse(id, Refusal::Cancelled, None, out);
+        }
+    }
+
+    fn unqueue(&mut self, id: id::CallId) {
+        self.waiting.retain(|w| w.id != id);
+    }
+
+    fn refuse(
+        &mut self,
+        id: id::CallId,
+        refusal: Refusal,
+        fingerprint: Option<u64>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.safeguards.void {
+            self.record(id, State::Void(refusal), fingerprint);
+        }
+        out.push(reply_not_run(id, refusal));
+    }
+
+    fn record(&mut self, id: id::CallId, state: State, fingerprint: Option<u64>) {
+        if self.safeguards.records || matches!(state, State::Void(_)) {
+            self.records.set(id, state, fingerprint);
+        }
+    }
+
+    fn finished(&mut self, now: Duration, id: id::CallId, outcome: Outcome, out: &mut Vec<Output>) {
+        let Some(running) = self.running.remove(&id) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered { bytes, failed } => {
+                self.times
+                    .record(&running.route, now.saturating_sub(running.started));
+                self.note_outcome(failed);
+                out.push(Output::Reply(id, Reply::Answer));
+                self.settle(now, id, running.once, bytes, out);
+            }
+            Outcome::NotStarted(refusal) => {
+                self.note_outcome(refusal == Refusal::Unreachable);
+                self.refuse(id, refusal, None, out);
+            }
+            Outcome::Lost => {
+                self.note_outcome(true);
+                self.record(id, State::Lost, None);
+                out.push(Output::Reply(id, Reply::Unknown(Doubt::TargetLost)));
+            }
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: Duration,
+        id: id::CallId,
+        once: bool,
+        bytes: u64,
+        out: &mut Vec<Output>,
+    ) {
+        self.record(id, State::Done { kept: once }, None);
+        if !once {
+            return;
+        }
+        out.push(Output::Keep(id));
+        self.kept.push_back((id, bytes, now));
+        self.kept_bytes += bytes;
+        while self.kept_bytes > ANSWERS_MAX_BYTES {
+            self.forget_oldest(out);
+        }
+    }
+
+    fn expire_answers(&mut self, now: Duration, out: &mut Vec<Output>) {
+        while self
+            .kept
+            .front()
+            .is_some_and(|(_, _, at)| *at + ANSWER_TTL < now)
+        {
+            self.forget_oldest(out);
+        }
+    }
+
+    fn forget_oldest(&mut self, out: &mut Vec<Output>) {
+        if let Some((id, bytes, _)) = self.kept.pop_front() {
+            self.kept_bytes -= bytes;
+            if matches!(self.records.known(id), Known::Record(_)) {
+                self.record(id, State::Done { kept: false }, None);
+            }
+            out.push(Output::Forget(id));
+        }
+    }
+
+    fn trim(&mut self, out: &mut Vec<Output>) {
+        for id in self.records.trim() {
+            if let Some(at) = self.kept.iter().position(|(kept, _, _)| *kept == id) {
+                let bytes = self.kept.remove(at).map_or(0, |(_, bytes, _)| bytes);
+                self.kept_bytes -= bytes;
+                out.push(Output::Forget(id));
+            }
+        }
+    }
+
+    fn note_outcome(&mut self, failed: bool) {
+        self.outcomes.push_back(failed);
+        if self.outcomes.len() > OUTCOMES as usize {
+            self.outcomes.pop_front();
+        }
+    }
+
+    fn announced(&mut self, now: Duration, announcement: Announcement) {
+        let first_heard = match &self.target {
+            Some(target) if now <= target.heard + ANNOUNCEMENT_TTL => target.first_heard,
+            _ => now,
+        };
+        self.target = Some(Target {
+            announcement,
+            first_heard,
+            heard: now,
+        });
+    }
+
+    fn open_slots(&self, now: Duration) -> u32 {
+        let Some(target) = &self.target else {
+            return 0;
+        };
+        let Announcement {
+            slots, cold_start, ..
+        } = target.announcement;
+        let age = now.saturating_sub(target.first_heard);
+        if age >= cold_start {
+            return slots;
+        }
+        let share = age.as_micros() * u128::from(slots) / cold_start.as_micros().max(1);
+        u32::try_from(share).unwrap_or(slots).max(1)
+    }
+
+    fn slots(&self, now: Duration) -> queue::Slots {
+        let limits = self.document.as_ref().map(|d| &d.limits);
+        queue::Slots {
+            open: self.open_slots(now),
+            running: count(self.running.len()),
+            running_long: count(self.running.values().filter(|r| r.long).count()),
+            short_reserved: limits.map_or(0, |l| l.short_reserved),
+            levels: limits.map_or(0, |l| l.depth_levels),
+        }
+    }
+
+    fn refuse_waiting(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let leaving = self.refusal_now(now);
+        let (late, staying) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|w| leaving.is_some() || now >= w.deadline);
+        self.waiting = staying;
+        let late: Vec<queue::Waiting> = late;
+        for w in late {
+            self.refuse(w.id, leaving.unwrap_or(Refusal::Late), None, out);
+        }
+    }
+
+    fn start_waiting(&mut self, now: Duration, out: &mut Vec<Output>) {
+        while let Some(at) = queue::next(&self.waiting, self.slots(now), now) {
+            let w = self.waiting.remove(at);
+            self.record(w.id, State::Running, None);
+            out.push(Output::Start {
+                id: w.id,
+                deadline: w.deadline,
+            });
+            let running = Running {
+                route: w.route,
+                once: w.once,
+                long: w.long,
+                started: now,
+            };
+            self.running.insert(w.id, running);
+        }
+    }
+}
+
+fn reply_not_run(id: id::CallId, refusal: Refusal) -> Output {
+    Output::Reply(id, Reply::NotRun(refusal))
+}
+
+fn differs(earlier: Option<u64>, later: Option<u64>) -> bool {
+    matches!((earlier, later), (Some(a), Some(b)) if a != b)
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/hint.rs
@@ -0,0 +1,20 @@
+//! Load of a gate as it reports it with each reply.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Load of a gate at the time of a reply; an entry keeps it with its age.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Hint {
+    /// Calls that the target runs.
+    pub running: u32,
+    /// Calls that wait at the gate.
+    pub waiting: u32,
+    /// Slots of the target that are open at present.
+    pub slots: u32,
+    /// Mean service time of the target.
+    pub mean: Duration,
+    /// Whether most of the latest calls failed.
+    pub failing: bool,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decision state machines of pollenrouter.
+//!
+//! Every machine maps `(state, input, now)` to outputs. There are no threads,
+//! sockets, clocks or random sources here: time is a [`std::time::Duration`]
+//! since an origin that the embedder picks, and random draws arrive as inputs.
+//! The daemon, the scripted scenarios and the model checker drive the same
+//! functions.
+
+pub mod bucket;
+pub mod call;
+pub mod choice;
+pub mod documents;
+pub mod entry;
+pub mod gate;
+pub mod hint;
+pub mod id;
+pub mod queue;
+pub mod records;
+pub mod replica;
+pub mod ring;
+pub mod service;
+pub mod size;
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,96 @@
+//! Order of the calls that wait at a gate.
+
+use std::time::Duration;
+
+use crate::id;
+
+/// A call that waits for a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Waiting {
+    /// The call's id.
+    pub id: id::CallId,
+    /// Its route.
+    pub route: id::RouteName,
+    /// 0 for the public.
+    pub depth: u8,
+    /// Whether its work is long.
+    pub long: bool,
+    /// Whether it may run at most once.
+    pub once: bool,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When it must be answered.
+    pub deadline: Duration,
+    /// Expected service time.
+    pub mean: Duration,
+}
+
+impl Waiting {
+    fn rank(&self, now: Duration) -> (bool, bool, Duration) {
+        let urgent = now + self.mean * 2 >= self.deadline;
+        (self.depth == 0, self.long && !urgent, self.arrived)
+    }
+}
+
+/// Slots in use, as far as the order needs them.
+#[derive(Clone, Copy, Debug)]
+pub struct Slots {
+    /// Slots that are open.
+    pub open: u32,
+    /// Calls that run.
+    pub running: u32,
+    /// Long calls that run.
+    pub running_long: u32,
+    /// Slots kept for short work.
+    pub short_reserved: u32,
+    /// Levels of depth that keep slots free for deeper calls.
+    pub levels: u8,
+}
+
+impl Slots {
+    /// Slots that a call of a depth may find in use and still start.
+    #[must_use]
+    pub fn cap(&self, depth: u8) -> u32 {
+        let kept = u32::from(self.levels.saturating_sub(depth));
+        self.open.saturating_sub(kept).max(1).min(self.open)
+    }
+
+    /// Whether a call may start now.
+    #[must_use]
+    pub fn admits(&self, depth: u8, long: bool) -> bool {
+        let long_cap = self.open.saturating_sub(self.short_reserved).max(1);
+        self.running < self.cap(depth) && (!long || self.running_long < long_cap)
+    }
+}
+
+/// Position of the call to start next: internal before public, short before
+/// long, then by arrival.
+#[must_use]
+pub fn next(waiting: &[Waiting], slots: Slots, now: Duration) -> Option<usize> {
+    waiting
+        .iter()
+        .enumerate()
+        .filter(|(_, w)| slots.admits(w.depth, w.long))
+        .min_by_key(|(_, w)| w.rank(now))
+        .map(|(at, _)| at)
+}
+
+/// Expected wait of a call that would join now.
+#[must_use]
+pub fn expected_wait(
+    waiting: &[Waiting],
+    depth: u8,
+    long: bool,
+    slots: Slots,
+    mean: Duration,
+) -> Duration {
+    if slots.admits(depth, long) && waiting.is_empty() {
+        return Duration::ZERO;
+    }
+    let ahead = waiting
+        .iter()
+        .filter(|w| (w.depth == 0, w.long) <= (depth == 0, long))
+        .count();
+    let ahead = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
+    mean.saturating_mul(ahead) / slots.cap(depth).max(1)
+}
--- /dev/null
+++ b/crates/core/src/service.rs
@@ -0,0 +1,104 @@
+//! The service document: what a team's callers are owed.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::id;
+
+/// One service document after checking.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Service {
+    /// The service's name.
+    pub name: id::ServiceName,
+    /// Routes in the order they are matched.
+    pub routes: Vec<Route>,
+    /// Bounds on queues, slots and sizes.
+    pub limits: Limits,
+    /// Budget for measuring targets.
+    pub measuring: Measuring,
+}
+
+/// What is owed for one kind of request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Route {
+    /// Name, unique within the service.
+    pub name: id::RouteName,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Prefix of the path below the service.
+    pub path: SmolStr,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Latency owed; also the default deadline.
+    pub owed: Duration,
+    /// Who may call.
+    pub audience: Audience,
+    /// Size of the work, where the operator knows it.
+    pub size: Size,
+}
+
+/// Who may use a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Audience {
+    /// The public and other services.
+    Everyone,
+    /// Other services only.
+    Internal,
+}
+
+/// Size of a route's work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Size {
+    /// Learned from service times.
+    Learned,
+    /// Always short.
+    Short,
+    /// Always long.
+    Long,
+}
+
+/// Bounds of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Limits {
+    /// Calls that may wait at one gate, for the public and for services each.
+    pub queue: u32,
+    /// Levels of calls between services that keep slots free for deeper calls.
+    pub depth_levels: u8,
+    /// Slots that long work can not fill.
+    pub short_reserved: u32,
+    /// Largest request body, bytes.
+    pub request_bytes: u64,
+    /// Largest answer body, bytes.
+    pub answer_bytes: u64,
+    /// Second attempts per hundred calls.
+    pub retry_percent: u32,
+}
+
+/// Budget for the work of measuring targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Measuring {
+    /// Probes per minute over all targets of the service.
+    pub probes_per_minute: u32,
+    /// Targets that share the budget.
+    pub targets_max: u32,
+}
+
+impl Service {
+    /// The first route that matches a method and a path.
+    #[must_use]
+    pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .find(|route| route.method == method && path.starts_with(route.path.as_str()))
+    }
+
+    /// The route with a name.
+    #[must_use]
+    pub fn route_named(&self, name: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| route.name == name)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol between daemons: QUIC, one stream per call, mutual authentication.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Documents and settings that operators edit: reading, checking, findings.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,2 @@
+//! pollenrouter
+fn main() {}
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the target on the same host.
