--- /dev/null
+++ b/crates/caller/src/listener.rs
@@ -0,0 +1,146 @@
+//! The public and the internal listener.
+
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use pollenrouter_core::call::{Doubt, MAX_DEPTH, Refusal};
+use pollenrouter_core::{id, service};
+use pollenrouter_http::problem::CallOutcome;
+use pollenrouter_http::{body, problem, server};
+use smol_str::SmolStr;
+use tokio::sync::{oneshot, watch};
+
+use crate::ending;
+use crate::guard;
+use crate::message::{Call, Ending, EndingKind, Event};
+use crate::request;
+
+/// Path below which the system itself answers.
+const TICKETS: &str = "/.pollenrouter/tickets/";
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Takes events; tells whether there was room.
+pub type Sink = Arc<dyn Fn(Event) -> bool + Send + Sync>;
+/// Largest request body of a service in bytes; `None` for an unknown service.
+pub type BodyLimit = Arc<dyn Fn(&str) -> Option<u64> + Send + Sync>;
+
+/// What a listener needs of its embedder.
+#[derive(Clone)]
+pub struct Context {
+    /// Where events go.
+    pub sink: Sink,
+    /// Bounds on bodies.
+    pub body_limit: BodyLimit,
+    /// Source of tokens, shared by all listeners of a daemon.
+    pub tokens: Arc<AtomicU64>,
+}
+
+/// Serves callers until `stop` turns true.
+///
+/// # Errors
+/// The listener can not be used.
+pub async fn serve(
+    listener: net::TcpListener,
+    audience: service::Audience,
+    cx: Context,
+    stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let cx = Rc::new(cx);
+    let handler = move |req| {
+        let cx = cx.clone();
+        async move { handle(&cx, audience, req).await }
+    };
+    server::serve(listener, server::Bounds::default(), stop, handler).await
+}
+
+async fn handle(
+    cx: &Context,
+    audience: service::Audience,
+    req: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if let Some(service) = req.uri().path().strip_prefix(TICKETS) {
+        return ticket(cx, req.method(), service.into()).await;
+    }
+    let parsed = match request::parse(&req) {
+        Ok(parsed) => parsed,
+        Err(err) => return ending::malformed(&err),
+    };
+    let Some(limit) = (cx.body_limit)(&parsed.service) else {
+        let detail = format!("service `{}` has no document in force here", parsed.service);
+        return problem::answer(StatusCode::NOT_FOUND, CallOutcome::NotRun, &detail);
+    };
+    match body::read(req.into_body(), limit, BODY_TIMEOUT).await {
+        Ok(body) => call(cx, audience, parsed, body).await,
+        Err(err) => ending::bad_body(&err),
+    }
+}
+
+async fn call(
+    cx: &Context,
+    audience: service::Audience,
+    parsed: request::Parsed,
+    body: Bytes,
+) -> Response<Full<Bytes>> {
+    let token = cx.tokens.fetch_add(1, Ordering::Relaxed);
+    let (reply_to, ended) = oneshot::channel();
+    let call = Call {
+        token,
+        service: parsed.service,
+        head: parsed.head,
+        body,
+        remaining: parsed.remaining,
+        depth: depth(audience, parsed.depth),
+        ticket: parsed.ticket,
+        reply_to,
+    };
+    if !(cx.sink)(Event::Call(call)) {
+        return ending::refused(Refusal::Overloaded);
+    }
+    let guard = guard::Guard::new(token, cx.sink.clone());
+    let ended = ended.await.unwrap_or(Ending {
+        kind: EndingKind::Unknown(Doubt::Silent),
+        ticket: None,
+    });
+    guard.disarm();
+    ending::answer(ended)
+}
+
+/// The public's word on depth does not count.
+fn depth(audience: service::Audience, stated: u8) -> u8 {
+    match audience {
+        service::Audience::Everyone => 0,
+        service::Audience::Internal => stated.saturating_add(1).min(MAX_DEPTH),
+    }
+}
+
+async fn ticket(cx: &Context, method: &Method, service: id::ServiceName) -> Response<Full<Bytes>> {
+    if method != Method::POST {
+        let detail = "tickets are issued on POST";
+        return problem::answer(StatusCode::METHOD_NOT_ALLOWED, CallOutcome::NotRun, detail);
+    }
+    let (reply_to, issued) = oneshot::channel();
+    if !(cx.sink)(Event::Ticket(service, reply_to)) {
+        return ending::refused(Refusal::Overloaded);
+    }
+    match issued.await.ok().flatten() {
+        None => ending::refused(Refusal::NoTarget),
+        Some(ticket) => {
+            let text = SmolStr::new(ticket.to_string());
+            let mut answer = problem::json(
+                StatusCode::OK,
+                &[("ticket", text)]
+                    .into_iter()
+                    .collect::<std::collections::BTreeMap<_, _>>(),
+            );
+            ending::name_ticket(&mut answer, &ticket);
+            answer
+        }
+    }
+}
--- /dev/null
+++ b/crates/caller/src/message.rs
@@ -0,0 +1,59 @@
+//! Messages between the caller thread and its embedder.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use pollenrouter_core::{call, entry, exchange, id};
+use tokio::sync::oneshot;
+
+/// A request of a caller.
+#[derive(Debug)]
+pub struct Call {
+    /// Handle for [`Event::Gone`].
+    pub token: entry::Token,
+    /// Service that is called.
+    pub service: id::ServiceName,
+    /// Head, with the path below the service.
+    pub head: exchange::RequestHead,
+    /// Whole body.
+    pub body: Bytes,
+    /// Time left, where the caller states it.
+    pub remaining: Option<Duration>,
+    /// 0 on the public listener; on the internal one at least 1.
+    pub depth: u8,
+    /// Ticket that the caller sent.
+    pub ticket: Option<id::Ticket>,
+    /// Where the ending goes.
+    pub reply_to: oneshot::Sender<Ending>,
+}
+
+/// What became of a call, for its caller.
+#[derive(Debug)]
+pub struct Ending {
+    /// Answer, refusal or doubt.
+    pub kind: EndingKind,
+    /// The call's ticket, where one was issued.
+    pub ticket: Option<id::Ticket>,
+}
+
+/// Kinds of ending.
+#[derive(Debug)]
+pub enum EndingKind {
+    /// The target's answer.
+    Answer(exchange::AnswerHead, Bytes),
+    /// The call did not run and never will.
+    NotRun(call::Refusal),
+    /// The call may have run.
+    Unknown(call::Doubt),
+}
+
+/// What the caller thread tells its embedder.
+#[derive(Debug)]
+pub enum Event {
+    /// A request is whole.
+    Call(Call),
+    /// The caller left before its answer.
+    Gone(entry::Token),
+    /// A caller asks for a ticket.
+    Ticket(id::ServiceName, oneshot::Sender<Option<id::Ticket>>),
+}
--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -4,8 +4,17 @@
 
 const MICROS_PER_MINUTE: u64 = 60_000_000;
 
-/// Token bucket for a rate per minute. One token is `MICROS_PER_MINUTE` units,
-/// so that a refill is exact in integers.
+/// A rate that several holders share evenly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Rate {
+    /// Tokens per minute for all holders together.
+    pub per_minute: u32,
+    /// Number of holders.
+    pub shared_by: u32,
+}
+
+/// One holder's token bucket. It holds one token at most; a token is
+/// `MICROS_PER_MINUTE * shared_by` units, so that a refill is exact.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Bucket {
     units: u64,
@@ -22,21 +31,22 @@
         }
     }
 
-    /// Takes one token if the rate allows it; holds one token at most.
-    pub fn take(&mut self, per_minute: u64, now: Duration) -> bool {
-        self.fill(per_minute, now);
-        if self.units < MICROS_PER_MINUTE {
+    /// Takes one token if the rate allows it.
+    pub fn take(&mut self, rate: Rate, now: Duration) -> bool {
+        let token = MICROS_PER_MINUTE.saturating_mul(rate.shared_by.max(1).into());
+        self.fill(rate, token, now);
+        if self.units < token {
             return false;
         }
-        self.units -= MICROS_PER_MINUTE;
+        self.units -= token;
         true
     }
 
-    fn fill(&mut self, per_minute: u64, now: Duration) {
+    fn fill(&mut self, rate: Rate, token: u64, now: Duration) {
         let elapsed = now.saturating_sub(self.filled_at);
         let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
-        let added = micros.saturating_mul(per_minute);
-        self.units = self.units.saturating_add(added).min(MICROS_PER_MINUTE);
+        let added = micros.saturating_mul(rate.per_minute.into());
+        self.units = self.units.saturating_add(added).min(token);
         self.filled_at = now.max(self.filled_at);
     }
 }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -38,6 +38,8 @@
     pub incarnation: id::Incarnation,
     /// The call's id.
     pub id: id::CallId,
+    /// Digest of the request, as in the offer.
+    pub fingerprint: u64,
 }
 
 quick_error! {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -14,8 +14,10 @@
 use crate::hint;
 use crate::id;
 
-/// A gate that could not be reached is passed over for this long.
-pub const SUSPECT_FOR: Duration = Duration::from_millis(500);
+/// First pause before a gate that could not be reached is probed.
+pub const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause between two probes of such a gate.
+pub const PROBE_PAUSE_MAX: Duration = Duration::from_secs(16);
 /// Time after the deadline in which a gate's own word may still arrive.
 pub const GRACE: Duration = Duration::from_millis(100);
 /// Pause between two questions to a silent gate.
@@ -80,6 +82,8 @@
     Reply(id::HostName, id::CallId, Reply, hint::Hint),
     /// The connection to a gate failed while an id was open.
     Lost(id::HostName, id::CallId, Sent),
+    /// A probe reached a gate.
+    Reachable(id::HostName),
     /// The caller left.
     Gone(Token),
     /// The known gates changed.
@@ -108,6 +112,8 @@
     Query(id::HostName, call::Query),
     /// Tell a gate that the caller left or is past its deadline.
     Withdraw(id::HostName, call::Query),
+    /// Find out whether a gate can be reached.
+    Probe(id::HostName),
     /// Tell the caller.
     Done(Token, Verdict, Option<id::Ticket>),
 }
@@ -115,8 +121,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Attempt {
     host: id::HostName,
-    incarnation: id::Incarnation,
-    id: id::CallId,
+    about: call::Query,
     ask_at: Option<Duration>,
 }
 
@@ -133,7 +138,13 @@
 struct Gate {
     member: Member,
     load: choice::Load,
-    suspect_until: Duration,
+    suspicion: Option<Suspicion>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Suspicion {
+    probe_at: Duration,
+    pause: Duration,
 }
 
 /// State of one entry.
@@ -171,8 +182,9 @@
                 self.reply(now, id, reply, &mut out);
             }
             Input::Lost(host, id, sent) => self.lost(now, &host, id, sent, &mut out),
+            Input::Reachable(host) => self.trust(&host),
             Input::Gone(token) => self.gone(token, &mut out),
-            Input::Members(members) => self.members(now, members),
+            Input::Members(members) => self.members(members),
             Input::Tick => self.tick(now, &mut out),
         }
         out
@@ -223,16 +235,27 @@
             tried: Vec::new(),
             maybe_ran: false,
         };
-        let ticket = pending.request.ticket.as_ref();
-        let foreign = ticket.is_some_and(|t| t.service != pending.request.service);
+        let wrong = self.wrong_ticket(&pending.request);
         self.pending.insert(token, pending);
-        if foreign {
-            self.conclude(token, Err(Refusal::WrongService), out);
-        } else {
-            self.attempt(now, token, Refusal::NoTarget, out);
+        match wrong {
+            Some(refusal) => self.conclude(token, Err(refusal), out),
+            None => self.attempt(now, token, Refusal::NoTarget, out),
         }
     }
 
+    fn wrong_ticket(&self, request: &Request) -> Option<Refusal> {
+        let ticket = request.ticket.as_ref()?;
+        if ticket.service != request.service {
+            return Some(Refusal::WrongService);
+        }
+        let differs = |token: &Token| {
+            let other = self.pending.get(token);
+            other.is_some_and(|p| p.request.fingerprint != request.fingerprint)
+        };
+        let in_use = self.tokens(ticket.id).iter().any(differs);
+        in_use.then_some(Refusal::WrongRequest)
+    }
+
     fn attempt(&mut self, now: Duration, token: Token, otherwise: Refusal, out: &mut Vec<Output>) {
         let Some(pending) = self.pending.get(&token) else {
             return;
@@ -286,8 +309,11 @@
         pending.tried.push(host.clone());
         pending.attempt = Some(Attempt {
             host: host.clone(),
-            incarnation,
-            id,
+            about: call::Query {
+                incarnation,
+                id,
+                fingerprint: request.fingerprint,
+            },
             ask_at: None,
         });
         self.by_id.entry(id).or_default().push(token);
@@ -314,7 +340,7 @@
         let trusted: Vec<&Gate> = all
             .iter()
             .copied()
-            .filter(|g| g.suspect_until <= now)
+            .filter(|g| g.suspicion.is_none())
             .collect();
         let among = if trusted.is_empty() { all } else { trusted };
         let loads: Vec<choice::Load> = among.iter().map(|gate| gate.load).collect();
@@ -325,7 +351,23 @@
         if let Some(gate) = self.gates.get_mut(host) {
             gate.load.report = Some((hint, now));
             gate.load.offered_since = 0;
-            gate.suspect_until = Duration::ZERO;
+            gate.member.serving &= !hint.leaving;
+            gate.suspicion = None;
+        }
+    }
+
+    fn trust(&mut self, host: &id::HostName) {
+        if let Some(gate) = self.gates.get_mut(host) {
+            gate.suspicion = None;
+        }
+    }
+
+    fn suspect(&mut self, now: Duration, host: &id::HostName) {
+        if let Some(gate) = self.gates.get_mut(host) {
+            gate.suspicion.get_or_insert(Suspicion {
+                probe_at: now + PROBE_PAUSE,
+                pause: PROBE_PAUSE,
+            });
         }
     }
 
@@ -396,9 +438,7 @@
         sent: Sent,
         out: &mut Vec<Output>,
     ) {
-        if let Some(gate) = self.gates.get_mut(host) {
-            gate.suspect_until = now + SUSPECT_FOR;
-        }
+        self.suspect(now, host);
         for token in self.tokens(id) {
             self.lost_for(now, id, token, sent, out);
         }
@@ -454,7 +494,7 @@
         };
         attempt.ask_at = Some(now + QUERY_PAUSE);
         if !again {
-            out.push(query(attempt));
+            out.push(Output::Query(attempt.host.clone(), attempt.about));
         }
     }
 
@@ -463,16 +503,14 @@
             return;
         };
         if let Some(attempt) = &pending.attempt {
-            let id = attempt.id;
-            if self.tokens(id) == [token] {
-                out.push(withdraw(attempt));
-            }
-            self.close_attempt(id, token);
+            let attempt = attempt.clone();
+            self.withdraw(token, &attempt, out);
+            self.close_attempt(attempt.about.id, token);
         }
         self.pending.remove(&token);
     }
 
-    fn members(&mut self, now: Duration, members: Vec<Member>) {
+    fn members(&mut self, members: Vec<Member>) {
         let mut old = std::mem::take(&mut self.gates);
         for member in members {
             let gate = match old.remove(&member.host) {
@@ -482,7 +520,7 @@
                 _ => Gate {
                     member,
                     load: choice::Load::default(),
-                    suspect_until: now,
+                    suspicion: None,
                 },
             };
             self.gates.insert(gate.member.host.clone(), gate);
@@ -499,18 +537,37 @@
         for token in over {
             self.give_up(token, out);
         }
+        self.probe(now, out);
         for attempt in self.pending.values_mut().filter_map(|p| p.attempt.as_mut()) {
             if attempt.ask_at.is_some_and(|at| at <= now) {
                 attempt.ask_at = Some(now + QUERY_PAUSE);
-                out.push(query(attempt));
+                out.push(Output::Query(attempt.host.clone(), attempt.about));
             }
         }
     }
 
+    fn probe(&mut self, now: Duration, out: &mut Vec<Output>) {
+        for gate in self.gates.values_mut() {
+            let Some(suspicion) = gate.suspicion.as_mut().filter(|s| s.probe_at <= now) else {
+                continue;
+            };
+            suspicion.pause = (suspicion.pause * 2).min(PROBE_PAUSE_MAX);
+            suspicion.probe_at = now + suspicion.pause;
+            out.push(Output::Probe(gate.member.host.clone()));
+        }
+    }
+
+    /// Withdraws an attempt that nobody else waits for.
+    fn withdraw(&self, token: Token, attempt: &Attempt, out: &mut Vec<Output>) {
+        if self.tokens(attempt.about.id) == [token] {
+            out.push(Output::Withdraw(attempt.host.clone(), attempt.about));
+        }
+    }
+
     fn give_up(&mut self, token: Token, out: &mut Vec<Output>) {
         let attempt = self.pending.get(&token).and_then(|p| p.attempt.clone());
         if let Some(attempt) = attempt {
-            out.push(withdraw(&attempt));
+            self.withdraw(token, &attempt, out);
         }
         self.finish(token, Verdict::Unknown(Doubt::Silent), out);
     }
@@ -549,7 +606,7 @@
 
     fn finish(&mut self, token: Token, verdict: Verdict, out: &mut Vec<Output>) {
         let open = self.pending.get(&token).and_then(|p| p.attempt.as_ref());
-        if let Some(id) = open.map(|attempt| attempt.id) {
+        if let Some(id) = open.map(|attempt| attempt.about.id) {
             self.close_attempt(id, token);
         }
         let Some(pending) = self.pending.remove(&token) else {
@@ -558,24 +615,9 @@
         let ticket = pending.attempt.map(|attempt| id::Ticket {
             service: pending.request.service,
             host: attempt.host,
-            incarnation: attempt.incarnation,
-            id: attempt.id,
+            incarnation: attempt.about.incarnation,
+            id: attempt.about.id,
         });
         out.push(Output::Done(token, verdict, ticket));
     }
 }
-
-fn query(attempt: &Attempt) -> Output {
-    Output::Query(attempt.host.clone(), target_of(attempt))
-}
-
-fn withdraw(attempt: &Attempt) -> Output {
-    Output::Withdraw(attempt.host.clone(), target_of(attempt))
-}
-
-fn target_of(attempt: &Attempt) -> call::Query {
-    call::Query {
-        incarnation: attempt.incarnation,
-        id: attempt.id,
-    }
-}
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -91,6 +91,8 @@
     Cancel(id::CallId),
     /// Reply to everybody who waits for this id.
     Reply(id::CallId, Reply),
+    /// Reply [`Refusal::WrongRequest`] to the sender of this input only.
+    Mismatch(id::CallId),
     /// Keep the answer of this id for resends.
     Keep(id::CallId),
     /// Let the kept answer of this id go.
@@ -229,6 +231,7 @@
             slots: self.open_slots(now),
             mean: self.times.overall(),
             failing: count(failed) * 2 > OUTCOMES,
+            leaving: self.refusal_now(now).is_some(),
         }
     }
 
@@ -239,7 +242,7 @@
             return;
         }
         match self.known(id) {
-            Known::Record(record) => self.resend(id, record, Some(offer.fingerprint), out),
+            Known::Record(record) => Self::resend(id, record, offer.fingerprint, out),
             Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
             Known::New => match self.judge(now, offer) {
                 Err(refusal) => self.refuse(id, refusal, Some(offer.fingerprint), out),
@@ -258,15 +261,9 @@
         }
     }
 
-    fn resend(
-        &self,
-        id: id::CallId,
-        record: records::Record,
-        fingerprint: Option<u64>,
-        out: &mut Vec<Output>,
-    ) {
+    fn resend(id: id::CallId, record: records::Record, fingerprint: u64, out: &mut Vec<Output>) {
         if differs(record.fingerprint, fingerprint) {
-            out.push(reply_not_run(id, Refusal::WrongRequest));
+            out.push(Output::Mismatch(id));
             return;
         }
         let reply = match record.state {
@@ -332,15 +329,16 @@
         }
         match self.records.known(id) {
             Known::Record(record) => {
-                if record.state == State::Waiting {
+                let matches = !differs(record.fingerprint, query.fingerprint);
+                if record.state == State::Waiting && matches {
                     self.unqueue(id);
                     self.refuse(id, Refusal::Void, None, out);
                 } else {
-                    self.resend(id, record, None, out);
+                    Self::resend(id, record, query.fingerprint, out);
                 }
             }
             Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
-            Known::New => self.refuse(id, Refusal::Void, None, out),
+            Known::New => self.refuse(id, Refusal::Void, Some(query.fingerprint), out),
         }
     }
 
@@ -355,11 +353,16 @@
             }
             return;
         }
-        let unsettled =
-            !matches!(self.records.known(id), Known::Record(r) if r.state != State::Waiting);
-        if unsettled && self.records.known(id) != Known::Expired {
+        let open = match self.records.known(id) {
+            Known::New => true,
+            Known::Expired => false,
+            Known::Record(record) => {
+                record.state == State::Waiting && !differs(record.fingerprint, query.fingerprint)
+            }
+        };
+        if open {
             self.unqueue(id);
-            self.refuse(id, Refusal::Cancelled, None, out);
+            self.refuse(id, Refusal::Cancelled, Some(query.fingerprint), out);
         }
     }
 
@@ -540,8 +543,8 @@
     Output::Reply(id, Reply::NotRun(refusal))
 }
 
-fn differs(earlier: Option<u64>, later: Option<u64>) -> bool {
-    matches!((earlier, later), (Some(a), Some(b)) if a != b)
+fn differs(earlier: Option<u64>, later: u64) -> bool {
+    earlier.is_some_and(|earlier| earlier != later)
 }
 
 fn count(n: usize) -> u32 {
--- a/crates/core/src/hint.rs
+++ b/crates/core/src/hint.rs
@@ -17,4 +17,6 @@
     pub mean: Duration,
     /// Whether most of the latest calls failed.
     pub failing: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
 }
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,227 @@
+//! Spread of the platform's objects between daemons, and the duties of a few.
+//!
+//! A few daemons of each failure domain watch the platform. News goes on to a
+//! few random peers at once; a digest to one random peer each round repairs
+//! what was lost. Each daemon checks its successor in its failure domain, and
+//! reports one that stays unreachable.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id;
+use crate::replica::{Digest, Key, Object, Replica};
+use crate::ring;
+
+/// Time between two rounds.
+pub const ROUND: Duration = Duration::from_secs(1);
+/// Daemons of a failure domain that watch the platform.
+pub const WATCHERS: usize = 2;
+/// Peers that news goes on to.
+const FANOUT: u64 = 3;
+/// Rounds without contact after which a successor is reported.
+const MISSED_MAX: u32 = 5;
+
+/// Another daemon, or this one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Member {
+    /// Its host.
+    pub host: id::HostName,
+    /// Its failure domain.
+    pub failure_domain: id::DomainName,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+}
+
+/// What is sent to a peer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Message {
+    /// Digest of the sender's replica.
+    pub digest: Digest,
+    /// The sender's versions, where it asks for newer objects.
+    pub versions: Option<BTreeMap<Key, id::Version>>,
+    /// Objects that may be news.
+    pub objects: Vec<Object>,
+}
+
+/// What happens to a membership.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// Objects read from the platform.
+    Read(Vec<Object>, u64),
+    /// A message from a peer, with a random draw.
+    Heard(id::HostName, Message, u64),
+    /// A message did not reach a peer.
+    Unreachable(id::HostName),
+    /// The members that have not left.
+    Members(Vec<Member>),
+    /// A round begins; with a random draw.
+    Round(u64),
+}
+
+/// What the embedder has to do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    /// Send a message to a peer.
+    Send(id::HostName, Message),
+    /// Take in a newer version of an object.
+    Changed(Object),
+    /// Report a member as gone.
+    Report(Member),
+}
+
+/// One daemon's view of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Membership {
+    own: Member,
+    replica: Replica,
+    members: BTreeMap<id::HostName, Member>,
+    missed: BTreeMap<id::HostName, u32>,
+}
+
+impl Membership {
+    /// A view that holds nothing yet.
+    #[must_use]
+    pub fn new(own: Member) -> Self {
+        Self {
+            own,
+            replica: Replica::default(),
+            members: BTreeMap::new(),
+            missed: BTreeMap::new(),
+        }
+    }
+
+    /// Takes one input and returns what has to be done, in order.
+    pub fn step(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        match input {
+            Input::Read(objects, draw) => self.merge(objects, draw, &mut out),
+            Input::Heard(host, message, draw) => self.heard(host, message, draw, &mut out),
+            Input::Unreachable(host) => self.unreachable(&host, &mut out),
+            Input::Members(members) => self.members(members),
+            Input::Round(draw) => self.round(draw, &mut out),
+        }
+        out
+    }
+
+    /// The objects held.
+    #[must_use]
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Whether this daemon should watch the platform.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        ring::among_first(&self.own.host, self.neighbors(), WATCHERS)
+    }
+
+    fn neighbors(&self) -> impl Iterator<Item = &id::HostName> {
+        self.members
+            .values()
+            .filter(|member| member.failure_domain == self.own.failure_domain)
+            .map(|member| &member.host)
+    }
+
+    fn merge(&mut self, objects: Vec<Object>, draw: u64, out: &mut Vec<Output>) {
+        let news: Vec<Object> = objects
+            .into_iter()
+            .filter(|object| self.replica.merge(object))
+            .collect();
+        out.extend(news.iter().cloned().map(Output::Changed));
+        if news.is_empty() {
+            return;
+        }
+        let message = Message {
+            digest: self.replica.digest(),
+            versions: None,
+            objects: news,
+        };
+        for nth in 0..FANOUT {
+            if let Some(host) =
+                self.random_peer(draw.rotate_right(16 * u32::try_from(nth).unwrap_or(0)))
+            {
+                out.push(Output::Send(host, message.clone()));
+            }
+        }
+    }
+
+    fn heard(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
+        self.missed.remove(&host);
+        self.merge(message.objects, draw, out);
+        let digest = self.replica.digest();
+        if digest == message.digest {
+            return;
+        }
+        let reply = match message.versions {
+            None => Message {
+                digest,
+                versions: Some(self.replica.versions()),
+                objects: Vec::new(),
+            },
+            Some(theirs) => {
+                let objects = self.replica.newer_than(&theirs);
+                let lacks = theirs
+                    .iter()
+                    .any(|(key, v)| self.replica.get(key).is_none_or(|held| held.version < *v));
+                Message {
+                    digest,
+                    versions: lacks.then(|| self.replica.versions()),
+                    objects,
+                }
+            }
+        };
+        if reply.versions.is_some() || !reply.objects.is_empty() {
+            out.push(Output::Send(host, reply));
+        }
+    }
+
+    fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
+        let watched = self.successors().contains(host);
+        let Some(member) = self.members.get(host).filter(|_| watched) else {
+            return;
+        };
+        let missed = self.missed.entry(host.clone()).or_default();
+        *missed += 1;
+        if *missed >= MISSED_MAX {
+            *missed = 0;
+            out.push(Output::Report(member.clone()));
+        }
+    }
+
+    fn members(&mut self, members: Vec<Member>) {
+        self.members = members
+            .into_iter()
+            .map(|member| (member.host.clone(), member))
+            .collect();
+        let known = &self.members;
+        self.missed.retain(|host, _| known.contains_key(host));
+    }
+
+    fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
+        let message = Message {
+            digest: self.replica.digest(),
+            ..Message::default()
+        };
+        let mut to = self.successors();
+        to.extend(self.random_peer(draw));
+        to.dedup();
+        out.extend(
+            to.into_iter()
+                .map(|host| Output::Send(host, message.clone())),
+        );
+    }
+
+    fn successors(&self) -> Vec<id::HostName> {
+        ring::successors(&self.own.host, self.neighbors(), 1)
+    }
+
+    fn random_peer(&self, draw: u64) -> Option<id::HostName> {
+        let peers: Vec<&id::HostName> = self
+            .members
+            .keys()
+            .filter(|host| **host != self.own.host)
+            .collect();
+        let n = u64::try_from(peers.len()).ok().filter(|n| *n > 0)?;
+        usize::try_from(draw % n).ok().map(|at| peers[at].clone())
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,10 @@
-//! Protocol between daemons: QUIC, one stream per call, mutual authentication.
+//! Protocol between daemons: QUIC with mutual authentication, one stream per
+//! call, so that a long answer never delays a short one.
+
+pub mod client;
+pub mod frame;
+pub mod keys;
+pub mod message;
+pub mod peer;
+pub mod server;
+pub mod tls;
--- /dev/null
+++ b/crates/daemon/src/tls.rs
@@ -0,0 +1,122 @@
+//! TLS and transport settings of connections between daemons.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+
+use crate::keys;
+
+/// Name that every daemon's certificate carries.
+pub const SERVER_NAME: &str = "pollenrouter";
+/// Protocol name, with its version.
+const ALPN: &[u8] = b"pollenrouter/1";
+/// A connection without traffic is closed after this long.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+const STREAMS_MAX: u32 = 4096;
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
+quick_error! {
+    /// Keys that can not be used.
+    #[derive(Debug)]
+    pub enum TlsError {
+        /// A text is not PEM of the expected kind.
+        Pem(field: &'static str, err: rustls::pki_types::pem::Error) {
+            source(err)
+            display("`keys.{field}` is not in PEM: {err}")
+        }
+        /// A text holds no certificate.
+        Empty(field: &'static str) {
+            display("`keys.{field}` holds no certificate")
+        }
+        /// The certificates do not fit together.
+        Rejected(reason: String) {
+            display("could not use the keys: {reason}")
+        }
+    }
+}
+
+/// Transport settings of both directions.
+#[derive(Clone, Debug)]
+pub struct Transport {
+    /// For accepting connections.
+    pub server: quinn::ServerConfig,
+    /// For opening connections.
+    pub client: quinn::ClientConfig,
+}
+
+/// Builds transport settings from a daemon's keys.
+///
+/// # Errors
+/// [`TlsError`] names the key that can not be used.
+pub fn transport(keys: &keys::Keys) -> Result<Transport, TlsError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let versions = &[&rustls::version::TLS13];
+    let roots = Arc::new(roots(&keys.authority)?);
+    let chain = certificates("certificate", &keys.certificate)?;
+    let key = PrivateKeyDer::from_pem_slice(keys.key.as_bytes())
+        .map_err(|err| TlsError::Pem("key", err))?;
+
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+        .build()
+        .map_err(rejected)?;
+    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(versions)
+        .map_err(rejected)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain.clone(), key.clone_key())
+        .map_err(rejected)?;
+    server.alpn_protocols = vec![ALPN.to_vec()];
+
+    let mut client = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(versions)
+        .map_err(rejected)?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(chain, key)
+        .map_err(rejected)?;
+    client.alpn_protocols = vec![ALPN.to_vec()];
+
+    let settings = Arc::new(settings()?);
+    let crypto = QuicServerConfig::try_from(server).map_err(rejected)?;
+    let mut server = quinn::ServerConfig::with_crypto(Arc::new(crypto));
+    server.transport_config(settings.clone());
+    let crypto = QuicClientConfig::try_from(client).map_err(rejected)?;
+    let mut client = quinn::ClientConfig::new(Arc::new(crypto));
+    client.transport_config(settings);
+    Ok(Transport { server, client })
+}
+
+fn settings() -> Result<quinn::TransportConfig, TlsError> {
+    let mut settings = quinn::TransportConfig::default();
+    let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT).map_err(rejected)?;
+    settings.max_idle_timeout(Some(idle));
+    settings.max_concurrent_bidi_streams(STREAMS_MAX.into());
+    settings.max_concurrent_uni_streams(STREAMS_MAX.into());
+    settings.stream_receive_window(STREAM_WINDOW_BYTES.into());
+    Ok(settings)
+}
+
+fn roots(pem: &str) -> Result<rustls::RootCertStore, TlsError> {
+    let mut roots = rustls::RootCertStore::empty();
+    for certificate in certificates("authority", pem)? {
+        roots.add(certificate).map_err(rejected)?;
+    }
+    Ok(roots)
+}
+
+fn certificates(field: &'static str, pem: &str) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let found: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem.as_bytes()).collect();
+    let found = found.map_err(|err| TlsError::Pem(field, err))?;
+    if found.is_empty() {
+        return Err(TlsError::Empty(field));
+    }
+    Ok(found)
+}
+
+fn rejected(err: impl std::fmt::Display) -> TlsError {
+    TlsError::Rejected(err.to_string())
+}
--- /dev/null
+++ b/crates/dev/src/cli.rs
@@ -0,0 +1,59 @@
+//! Command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+use pollenrouter_dev::target;
+
+/// Stand-ins, demo and measurements for pollenrouter.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run the platform stand-in; prints its address.
+    Platform,
+    /// Run a target stand-in.
+    Target(target::Profile),
+    /// Run the Wartebank deployment under load, a restart and a drain.
+    Demo(Demo),
+    /// Measure the latency that the path adds to a direct call.
+    Measure(Measure),
+}
+
+/// Arguments of `demo`.
+#[derive(Debug, Args)]
+pub struct Demo {
+    /// Folder with the examples.
+    #[arg(long, default_value = "examples")]
+    pub examples: PathBuf,
+    /// Length of the load, seconds.
+    #[arg(long, default_value_t = 10)]
+    pub seconds: u64,
+    /// Calls per second.
+    #[arg(long, default_value_t = 400)]
+    pub rate: u64,
+    /// Seed of the load.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+/// Arguments of `measure`.
+#[derive(Debug, Args)]
+pub struct Measure {
+    /// Folder with the examples.
+    #[arg(long, default_value = "examples")]
+    pub examples: PathBuf,
+    /// Calls of each kind.
+    #[arg(long, default_value_t = 4000)]
+    pub calls: usize,
+    /// Calls per second of each kind.
+    #[arg(long, default_value_t = 500)]
+    pub rate: u64,
+}
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -1,1 +1,11 @@
-//! Stand-ins for targets and the platform, and the load tool. Never linked by the product.
+//! Stand-ins for targets and the platform, and tools to run and judge whole
+//! deployments on one machine. The product never links this package.
+
+pub mod caller;
+pub mod deployment;
+pub mod error;
+pub mod judge;
+pub mod ledger;
+pub mod platform;
+pub mod process;
+pub mod target;
--- a/crates/dev/src/main.rs
+++ b/crates/dev/src/main.rs
@@ -1,2 +1,31 @@
-//! dev
-fn main() {}
+//! Development tool: stand-ins, demo and measurements.
+
+mod cli;
+mod demo;
+mod measure;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use pollenrouter_dev::{error, platform, target};
+
+use crate::cli::{Cli, Command};
+
+fn main() -> ExitCode {
+    match run(Cli::parse()) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("pollenrouter-dev: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: Cli) -> Result<ExitCode, error::Error> {
+    match cli.command {
+        Command::Platform => platform::run().map(|()| ExitCode::SUCCESS),
+        Command::Target(profile) => target::run(profile).map(|()| ExitCode::SUCCESS),
+        Command::Demo(args) => demo::run(&args),
+        Command::Measure(args) => measure::run(&args).map(|()| ExitCode::SUCCESS),
+    }
+}
--- /dev/null
+++ b/crates/dev/src/platform.rs
@@ -0,0 +1,239 @@
+//! Stand-in for the platform's object API, with faults on demand.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use pollenrouter_core::replica::Object;
+use pollenrouter_http::{body, problem, server};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::{Notify, watch};
+use tokio::{runtime, task, time};
+
+use crate::error::Error;
+
+const VALUE_MAX_BYTES: u64 = 1 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Faults to show.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call fails.
+    pub down: bool,
+    /// Every call takes this much longer, milliseconds.
+    pub slow_ms: u64,
+    /// So many writes take effect, and their answers are lost.
+    pub lose_answers: u32,
+}
+
+/// Calls so far; a waiting watch counts as one.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads of one object or of a prefix.
+    pub reads: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Writes that took effect.
+    pub writes: u64,
+    /// Writes refused for their version.
+    pub conflicts: u64,
+}
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    objects: BTreeMap<SmolStr, Object>,
+    faults: Faults,
+    counts: Counts,
+}
+
+#[derive(Default)]
+struct Platform {
+    store: RefCell<Store>,
+    changed: Notify,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+/// Runs the stand-in on a port of the system's choice and prints the address.
+///
+/// # Errors
+/// The socket or the runtime can not be had.
+pub fn run() -> Result<(), Error> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    println!("{}", listener.local_addr()?);
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (_stop, stopping) = watch::channel(false);
+    let platform = Rc::new(Platform::default());
+    let handler = move |req| {
+        let platform = platform.clone();
+        async move { platform.handle(req).await }
+    };
+    let bounds = server::Bounds {
+        connections: 4096,
+        ..server::Bounds::default()
+    };
+    task::LocalSet::new().block_on(&runtime, server::serve(listener, bounds, stopping, handler))?;
+    Ok(())
+}
+
+impl Platform {
+    async fn handle(&self, req: Request<Incoming>) -> Answer {
+        let path = req.uri().path().to_owned();
+        match path.as_str() {
+            "/control" => return self.control(req).await,
+            "/counts" => return problem::json(StatusCode::OK, &self.store.borrow().counts),
+            _ => {}
+        }
+        let faults = self.store.borrow().faults;
+        time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        if faults.down {
+            return failed();
+        }
+        if path == "/watch" {
+            return self.watch(&req).await;
+        }
+        match (req.method(), path.strip_prefix("/objects/")) {
+            (&Method::GET, None) if path == "/objects" => self.list(&req),
+            (&Method::GET, Some(key)) => self.get(key),
+            (&Method::PUT, Some(key)) => {
+                let key = SmolStr::new(key);
+                self.put(key, req).await
+            }
+            _ => problem::text(StatusCode::NOT_FOUND, String::new()),
+        }
+    }
+
+    async fn control(&self, req: Request<Incoming>) -> Answer {
+        let body = body::read(req.into_body(), VALUE_MAX_BYTES, BODY_TIMEOUT).await;
+        let faults = body
+            .ok()
+            .and_then(|body| serde_json::from_slice(&body).ok());
+        let Some(faults) = faults else {
+            return problem::text(StatusCode::BAD_REQUEST, "expected faults\n".to_owned());
+        };
+        self.store.borrow_mut().faults = faults;
+        self.changed.notify_waiters();
+        problem::text(StatusCode::OK, String::new())
+    }
+
+    fn get(&self, key: &str) -> Answer {
+        let mut store = self.store.borrow_mut();
+        store.counts.reads += 1;
+        match store.objects.get(key) {
+            Some(object) => problem::json(StatusCode::OK, object),
+            None => problem::text(StatusCode::NOT_FOUND, String::new()),
+        }
+    }
+
+    fn list(&self, req: &Request<Incoming>) -> Answer {
+        let prefix = parameter(req, "prefix").unwrap_or_default();
+        let mut store = self.store.borrow_mut();
+        store.counts.reads += 1;
+        let objects = store.objects.values();
+        let found: Vec<&Object> = objects.filter(|o| o.key.starts_with(&prefix)).collect();
+        let listing = json!({ "revision": store.revision, "objects": found });
+        problem::json(StatusCode::OK, &listing)
+    }
+
+    async fn watch(&self, req: &Request<Incoming>) -> Answer {
+        let number = |name| parameter(req, name).and_then(|text| text.parse().ok());
+        let after: u64 = number("after").unwrap_or(0);
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        self.store.borrow_mut().counts.watches += 1;
+        let until = time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if self.store.borrow().faults.down {
+                return failed();
+            }
+            if self.store.borrow().revision > after || time::Instant::now() >= until {
+                return self.newer(after);
+            }
+            // Times out into the check above.
+            let _ = time::timeout_at(until, changed).await;
+        }
+    }
+
+    fn newer(&self, after: u64) -> Answer {
+        let store = self.store.borrow();
+        let newer: Vec<&Object> = store
+            .objects
+            .values()
+            .filter(|o| o.version > after)
+            .collect();
+        let listing = json!({ "revision": store.revision, "objects": newer });
+        problem::json(StatusCode::OK, &listing)
+    }
+
+    async fn put(&self, key: SmolStr, req: Request<Incoming>) -> Answer {
+        #[derive(Deserialize)]
+        struct Value {
+            value: SmolStr,
+        }
+        let named: u64 = parameter(&req, "if_version")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let body = body::read(req.into_body(), VALUE_MAX_BYTES * 2, BODY_TIMEOUT).await;
+        let value = body
+            .ok()
+            .and_then(|body| serde_json::from_slice::<Value>(&body).ok());
+        let Some(Value { value }) = value else {
+            return problem::text(StatusCode::BAD_REQUEST, "expected a value\n".to_owned());
+        };
+        if value.len() as u64 > VALUE_MAX_BYTES {
+            return problem::text(StatusCode::PAYLOAD_TOO_LARGE, String::new());
+        }
+        self.write(key, value, named)
+    }
+
+    fn write(&self, key: SmolStr, value: SmolStr, named: u64) -> Answer {
+        let mut store = self.store.borrow_mut();
+        let current = store.objects.get(&key).map_or(0, |object| object.version);
+        if current != named {
+            store.counts.conflicts += 1;
+            return problem::json(StatusCode::CONFLICT, &json!({ "version": current }));
+        }
+        store.counts.writes += 1;
+        store.revision += 1;
+        let version = store.revision;
+        let object = Object {
+            key: key.clone(),
+            version,
+            value,
+        };
+        store.objects.insert(key, object);
+        self.changed.notify_waiters();
+        if store.faults.lose_answers > 0 {
+            store.faults.lose_answers -= 1;
+            return failed();
+        }
+        problem::json(StatusCode::OK, &json!({ "version": version }))
+    }
+}
+
+fn failed() -> Answer {
+    problem::text(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "platform is down\n".to_owned(),
+    )
+}
+
+fn parameter(req: &Request<Incoming>, name: &str) -> Option<String> {
+    let query = req.uri().query()?;
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| value.to_owned())
+    })
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,7 @@
+//! HTTP plumbing shared by the packages that speak it.
+
+pub mod body;
+pub mod client;
+pub mod head;
+pub mod problem;
+pub mod server;
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,127 @@
+//! Listener with bounds on connections, headers and time.
+
+use std::convert::Infallible;
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::{task, time};
+
+/// Pause after a failed accept, which is mostly a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bounds of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections open at once.
+    pub connections: usize,
+    /// Size of a request's head, bytes.
+    pub head_bytes: usize,
+    /// Headers in a request.
+    pub headers: usize,
+    /// Time for a request's head.
+    pub head_timeout: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            head_bytes: 16 << 10,
+            headers: 64,
+            head_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Serves requests until `stop` turns true, then finishes those in flight.
+/// Needs a current-thread runtime inside a [`task::LocalSet`].
+///
+/// # Errors
+/// The listener can not be used.
+pub async fn serve<H, F>(
+    listener: net::TcpListener,
+    bounds: Bounds,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(listener)?;
+    let handler = Rc::new(handler);
+    let room = Arc::new(Semaphore::new(bounds.connections));
+    let mut open = task::JoinSet::new();
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else {
+            break;
+        };
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(err) => {
+                    warn!("could not accept a connection: {err}");
+                    time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let work = connection(stream, bounds, stop.clone(), handler.clone());
+        open.spawn_local(async move {
+            work.await;
+            drop(permit);
+        });
+        while open.try_join_next().is_some() {}
+    }
+    drop(listener);
+    while open.join_next().await.is_some() {}
+    Ok(())
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    bounds: Bounds,
+    mut stop: watch::Receiver<bool>,
+    handler: Rc<H>,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    // Without it small answers wait for acknowledgements.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.head_timeout)
+        .max_buf_size(bounds.head_bytes)
+        .max_headers(bounds.headers)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let result = tokio::select! {
+        result = serving.as_mut() => result,
+        _ = stop.wait_for(|stop| *stop) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(err) = result {
+        debug!("connection ended: {err}");
+    }
+}
--- /dev/null
+++ b/crates/operator/src/document.rs
@@ -0,0 +1,137 @@
+//! Checking of service documents; the verdict depends on the text alone.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use pollenrouter_core::service::{Audience, Limits, Measuring, Route, Service, Size};
+
+use crate::fields::{self, Fields};
+use crate::finding::Finding;
+
+const OWED_MAX_MS: u64 = 600_000;
+const BODY_MAX_BYTES: u64 = 16 << 20;
+const DEFAULT_QUEUE: u64 = 64;
+const DEFAULT_REQUEST_BYTES: u64 = 64 << 10;
+const DEFAULT_ANSWER_BYTES: u64 = 1 << 20;
+const DEFAULT_RETRY_PERCENT: u64 = 10;
+const METHODS: [(&str, &str); 6] = [
+    ("GET", "GET"),
+    ("HEAD", "HEAD"),
+    ("POST", "POST"),
+    ("PUT", "PUT"),
+    ("PATCH", "PATCH"),
+    ("DELETE", "DELETE"),
+];
+
+/// Checks a document in YAML or JSON.
+///
+/// # Errors
+/// All findings, each with its place.
+pub fn check(text: &str) -> Result<Service, Vec<Finding>> {
+    fields::read(text, service)
+}
+
+fn service(f: &mut Fields<'_, '_>) -> Option<Service> {
+    let name = f.name("service");
+    let routes = f.mappings("routes", route);
+    let limits = f.optional_mapping("limits", default_limits(), limits);
+    let measuring = f.mapping("measuring", measuring);
+    if let Some(routes) = &routes {
+        unique_names(f, routes);
+    }
+    Some(Service {
+        name: name?,
+        routes: routes?,
+        limits: limits?,
+        measuring: measuring?,
+    })
+}
+
+fn unique_names(f: &mut Fields<'_, '_>, routes: &[Route]) {
+    let mut seen = BTreeSet::new();
+    for route in routes {
+        if !seen.insert(&route.name) {
+            f.add("routes", &format!("names route `{}` twice", route.name));
+        }
+    }
+}
+
+fn route(f: &mut Fields<'_, '_>) -> Option<Route> {
+    let name = f.name("name");
+    let method = f.word("method", &METHODS, None);
+    let path = f.text("path");
+    if path.as_ref().is_some_and(|path| !path.starts_with('/')) {
+        f.add("path", "does not begin with `/`");
+    }
+    let repeatable = f.flag("repeatable");
+    let owed = f.number("owed_ms", 1..=OWED_MAX_MS, None);
+    let audiences = [
+        ("everyone", Audience::Everyone),
+        ("internal", Audience::Internal),
+    ];
+    let audience = f.word("audience", &audiences, Some(Audience::Everyone));
+    let sizes = [
+        ("learned", Size::Learned),
+        ("short", Size::Short),
+        ("long", Size::Long),
+    ];
+    let size = f.word("size", &sizes, Some(Size::Learned));
+    Some(Route {
+        name: name?,
+        method: method?.into(),
+        path: path?,
+        repeatable: repeatable?,
+        owed: Duration::from_millis(owed?),
+        audience: audience?,
+        size: size?,
+    })
+}
+
+fn default_limits() -> Limits {
+    Limits {
+        queue: small(DEFAULT_QUEUE),
+        depth_levels: 1,
+        short_reserved: 0,
+        request_bytes: DEFAULT_REQUEST_BYTES,
+        answer_bytes: DEFAULT_ANSWER_BYTES,
+        retry_percent: small(DEFAULT_RETRY_PERCENT),
+    }
+}
+
+fn limits(f: &mut Fields<'_, '_>) -> Option<Limits> {
+    let queue = f.number("queue", 0..=100_000, Some(DEFAULT_QUEUE));
+    let levels = f.number("depth_levels", 0..=7, Some(1));
+    let short = f.number("short_reserved", 0..=1000, Some(0));
+    let request = f.number(
+        "request_bytes",
+        0..=BODY_MAX_BYTES,
+        Some(DEFAULT_REQUEST_BYTES),
+    );
+    let answer = f.number(
+        "answer_bytes",
+        0..=BODY_MAX_BYTES,
+        Some(DEFAULT_ANSWER_BYTES),
+    );
+    let retry = f.number("retry_percent", 0..=100, Some(DEFAULT_RETRY_PERCENT));
+    Some(Limits {
+        queue: small(queue?),
+        depth_levels: u8::try_from(levels?).ok()?,
+        short_reserved: small(short?),
+        request_bytes: request?,
+        answer_bytes: answer?,
+        retry_percent: small(retry?),
+    })
+}
+
+fn measuring(f: &mut Fields<'_, '_>) -> Option<Measuring> {
+    let probes = f.number("probes_per_minute", 0..=60_000, None);
+    let targets = f.number("targets_max", 1..=10_000, None);
+    Some(Measuring {
+        probes_per_minute: small(probes?),
+        targets_max: small(targets?),
+    })
+}
+
+fn small(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,8 @@
-//! Documents and settings that operators edit: reading, checking, findings.
+//! What operators give and see: documents and settings with findings, and the
+//! listener for status and metrics.
+
+pub mod document;
+pub mod fields;
+pub mod finding;
+pub mod listener;
+pub mod settings;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,4 @@
-//! Client of the platform's object API.
+//! Client of the platform's object API, and the objects kept there.
+
+pub mod client;
+pub mod object;
--- /dev/null
+++ b/crates/platform/src/object.rs
@@ -0,0 +1,88 @@
+//! Objects that the system keeps at the platform.
+
+use std::net;
+
+use pollenrouter_core::id;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Keys of service documents begin with this.
+pub const SERVICES: &str = "services/";
+/// Keys of members begin with this.
+pub const MEMBERS: &str = "members/";
+/// Changes that an object remembers.
+const CHANGES_MAX: usize = 100;
+
+/// A service document with its changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The document's text, as the operator gave it.
+    pub text: String,
+    /// Latest changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// A member: one daemon beside one target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its host.
+    pub host: id::HostName,
+    /// Its failure domain.
+    pub failure_domain: id::DomainName,
+    /// The target's service, once the target announced itself.
+    pub service: Option<id::ServiceName>,
+    /// Incarnation of the daemon.
+    pub incarnation: id::Incarnation,
+    /// Address for other daemons.
+    pub address: net::SocketAddr,
+    /// Whether it is there.
+    pub state: MemberState,
+    /// Latest changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// State of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberState {
+    /// It takes calls.
+    Serving,
+    /// It takes no new calls.
+    Leaving,
+    /// It has stopped, or was found gone.
+    Left,
+}
+
+/// One change of an object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Seconds since 1970 by the author's clock.
+    pub at: u64,
+    /// Who made it.
+    pub author: SmolStr,
+    /// What was done.
+    pub action: SmolStr,
+    /// Version that it was based on; 0 for none.
+    pub from: id::Version,
+    /// Random number by which an author knows its own write again.
+    pub nonce: u64,
+}
+
+/// Adds a change and lets the oldest ones go.
+pub fn note(changes: &mut Vec<Change>, change: Change) {
+    changes.push(change);
+    let excess = changes.len().saturating_sub(CHANGES_MAX);
+    changes.drain(..excess);
+}
+
+/// Key of a service's document.
+#[must_use]
+pub fn service_key(service: &str) -> SmolStr {
+    format!("{SERVICES}{service}").into()
+}
+
+/// Key of a member.
+#[must_use]
+pub fn member_key(host: &str) -> SmolStr {
+    format!("{MEMBERS}{host}").into()
+}
--- /dev/null
+++ b/crates/router/src/calls.rs
@@ -0,0 +1,482 @@
+//! Calls in progress: the entry and the gate with the bodies they decide on.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use log::{debug, warn};
+use pollenrouter_caller::message::{Call, Ending, EndingKind};
+use pollenrouter_core::call::{self, Doubt, Refusal, Reply};
+use pollenrouter_core::entry::{self, Sent, Verdict};
+use pollenrouter_core::{exchange, gate, hint, id, service};
+use pollenrouter_daemon::message::{Answer, Command, Peer, Replied, ReplyTo, Request};
+use pollenrouter_target::message as target;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::instruments::Instruments;
+use crate::routes;
+
+enum Step {
+    Entry(entry::Input),
+    Gate(gate::Input),
+}
+
+enum Waiter {
+    Entry,
+    Daemon(ReplyTo),
+}
+
+struct Held {
+    request: Request,
+    depth: u8,
+}
+
+struct Caller {
+    request: Request,
+    service: id::ServiceName,
+    begun: Duration,
+    reply_to: oneshot::Sender<Ending>,
+}
+
+/// Rings to the threads that do the work.
+pub struct Rings {
+    /// To the peer thread.
+    pub daemons: mpsc::Sender<Command>,
+    /// To the target thread.
+    pub target: mpsc::Sender<target::Command>,
+}
+
+/// Calls in progress at one daemon.
+pub struct Calls {
+    host: id::HostName,
+    origin: Instant,
+    entry: entry::Entry,
+    gate: gate::Gate,
+    steps: VecDeque<Step>,
+    callers: HashMap<entry::Token, Caller>,
+    held: HashMap<id::CallId, Held>,
+    waiters: HashMap<id::CallId, Vec<Waiter>>,
+    answers: HashMap<id::CallId, Answer>,
+    kept: HashSet<id::CallId>,
+    arrived: Option<Answer>,
+    peers: BTreeMap<id::HostName, Peer>,
+    answer_bytes: u64,
+    rings: Rings,
+    instruments: Instruments,
+}
+
+/// A call with the route that it matched.
+pub struct Routed {
+    /// The call.
+    pub call: Call,
+    /// Its route.
+    pub route: service::Route,
+    /// Second attempts per hundred calls.
+    pub retry_percent: u32,
+}
+
+impl Calls {
+    /// No calls yet.
+    pub fn new(
+        host: id::HostName,
+        incarnation: id::Incarnation,
+        rings: Rings,
+        instruments: Instruments,
+    ) -> Self {
+        Self {
+            host,
+            origin: Instant::now(),
+            entry: entry::Entry::new(incarnation),
+            gate: gate::Gate::new(incarnation, gate::RECORDS_MAX, gate::Safeguards::ALL),
+            steps: VecDeque::new(),
+            callers: HashMap::new(),
+            held: HashMap::new(),
+            waiters: HashMap::new(),
+            answers: HashMap::new(),
+            kept: HashSet::new(),
+            arrived: None,
+            peers: BTreeMap::new(),
+            answer_bytes: 0,
+            rings,
+            instruments,
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// The entry, for reading.
+    pub fn entry(&self) -> &entry::Entry {
+        &self.entry
+    }
+
+    /// The gate, for reading.
+    pub fn gate(&self) -> &gate::Gate {
+        &self.gate
+    }
+
+    /// The metrics.
+    pub fn instruments(&self) -> &Instruments {
+        &self.instruments
+    }
+
+    /// Whether no call is open.
+    pub fn is_idle(&self) -> bool {
+        self.callers.is_empty() && self.entry.is_idle() && self.gate.is_idle()
+    }
+
+    /// Issues a ticket.
+    pub fn issue(&mut self, service: &str) -> Option<id::Ticket> {
+        let now = self.now();
+        self.entry.issue(now, service, rand::random())
+    }
+
+    /// Tells a caller at once that its call was refused.
+    pub fn refuse(&self, call: Call, refusal: Refusal) {
+        let text = refusal.to_string();
+        self.instruments
+            .ended(&call.service, "not-run", &text, Duration::ZERO);
+        let ending = Ending {
+            kind: EndingKind::NotRun(refusal),
+            ticket: None,
+        };
+        // The caller may have left.
+        let _ = call.reply_to.send(ending);
+    }
+
+    /// Starts a call.
+    pub fn call(&mut self, routed: Routed) {
+        let Routed {
+            call,
+            route,
+            retry_percent,
+        } = routed;
+        let begun = self.now();
+        let request = entry::Request {
+            token: call.token,
+            service: call.service.clone(),
+            route: route.name,
+            depth: call.depth,
+            remaining: call.remaining.unwrap_or(route.owed),
+            once: !route.repeatable || call.ticket.is_some(),
+            fingerprint: routes::fingerprint(&call.head, &call.body),
+            ticket: call.ticket,
+            retry_percent,
+            draw: rand::random(),
+        };
+        let caller = Caller {
+            request: Request {
+                head: call.head,
+                body: call.body,
+            },
+            service: call.service,
+            begun,
+            reply_to: call.reply_to,
+        };
+        self.callers.insert(call.token, caller);
+        self.run(Step::Entry(entry::Input::Call(request)));
+    }
+
+    /// A caller left.
+    pub fn gone(&mut self, token: entry::Token) {
+        self.run(Step::Entry(entry::Input::Gone(token)));
+        self.callers.remove(&token);
+    }
+
+    /// The gates to pick from changed.
+    pub fn members(&mut self, members: Vec<entry::Member>, peers: BTreeMap<id::HostName, Peer>) {
+        self.peers = peers;
+        self.run(Step::Entry(entry::Input::Members(members)));
+    }
+
+    /// A document of the target's service came into force.
+    pub fn document(&mut self, service: service::Service) {
+        self.answer_bytes = service.limits.answer_bytes;
+        self.run(Step::Gate(gate::Input::Document(service)));
+    }
+
+    /// The target announced itself.
+    pub fn announced(&mut self, announcement: gate::Announcement) {
+        self.run(Step::Gate(gate::Input::Announced(announcement)));
+    }
+
+    /// The target is done with a call.
+    pub fn finished(
+        &mut self,
+        id: id::CallId,
+        outcome: gate::Outcome,
+        answer: Option<(exchange::AnswerHead, Bytes)>,
+    ) {
+        if let Some((head, body)) = answer {
+            self.answers.insert(id, Answer { head, body });
+        }
+        self.run(Step::Gate(gate::Input::Finished(id, outcome)));
+        if !self.kept.contains(&id) {
+            self.answers.remove(&id);
+        }
+    }
+
+    /// No new work from now on.
+    pub fn drain(&mut self) {
+        self.run(Step::Gate(gate::Input::Drain));
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self) {
+        self.run(Step::Entry(entry::Input::Tick));
+        self.run(Step::Gate(gate::Input::Tick));
+    }
+
+    /// A probe reached a daemon.
+    pub fn reachable(&mut self, host: id::HostName) {
+        self.run(Step::Entry(entry::Input::Reachable(host)));
+    }
+
+    /// Another daemon offers a call.
+    pub fn offered(&mut self, offer: call::Offer, request: Request, reply_to: ReplyTo) {
+        self.hold(&offer, request, Waiter::Daemon(reply_to));
+        self.run(Step::Gate(gate::Input::Offer(offer)));
+    }
+
+    /// Another daemon asks about a call.
+    pub fn asked(&mut self, query: call::Query, reply_to: ReplyTo) {
+        self.wait(query.id, Waiter::Daemon(reply_to));
+        self.run(Step::Gate(gate::Input::Query(query)));
+    }
+
+    /// Another daemon withdraws a call.
+    pub fn withdrawn(&mut self, query: call::Query) {
+        self.run(Step::Gate(gate::Input::Withdraw(query)));
+    }
+
+    /// A gate replied.
+    pub fn replied(&mut self, host: id::HostName, id: id::CallId, replied: Replied) {
+        let lacks_answer = replied.reply == Reply::Answer && replied.answer.is_none();
+        let reply = if lacks_answer {
+            Reply::Unknown(Doubt::AnswerNotKept)
+        } else {
+            replied.reply
+        };
+        self.arrived = replied.answer;
+        self.run(Step::Entry(entry::Input::Reply(
+            host,
+            id,
+            reply,
+            replied.hint,
+        )));
+        self.arrived = None;
+    }
+
+    /// A connection failed.
+    pub fn lost(&mut self, host: id::HostName, id: id::CallId, sent: Sent) {
+        self.run(Step::Entry(entry::Input::Lost(host, id, sent)));
+    }
+
+    fn run(&mut self, step: Step) {
+        self.steps.push_back(step);
+        while let Some(step) = self.steps.pop_front() {
+            let now = self.now();
+            match step {
+                Step::Entry(input) => {
+                    for output in self.entry.step(now, input) {
+                        self.entry_output(now, output);
+                    }
+                }
+                Step::Gate(input) => {
+                    for output in self.gate.step(now, input) {
+                        self.gate_output(now, output);
+                    }
+                }
+            }
+        }
+    }
+
+    fn entry_output(&mut self, now: Duration, output: entry::Output) {
+        match output {
+            entry::Output::Offer(host, token, offer) => self.send_offer(host, token, offer),
+            entry::Output::Query(host, query) if host == self.host => {
+                self.wait(query.id, Waiter::Entry);
+                self.steps.push_back(Step::Gate(gate::Input::Query(query)));
+            }
+            entry::Output::Query(host, query) => {
+                self.send(&host, |peer| Command::Query(peer, query));
+            }
+            entry::Output::Withdraw(host, query) if host == self.host => {
+                self.steps
+                    .push_back(Step::Gate(gate::Input::Withdraw(query)));
+            }
+            entry::Output::Withdraw(host, query) => {
+                self.send(&host, |peer| Command::Withdraw(peer, query));
+            }
+            entry::Output::Probe(host) => {
+                self.send(&host, Command::Probe);
+            }
+            entry::Output::Done(token, verdict, ticket) => self.done(now, token, verdict, ticket),
+        }
+    }
+
+    fn send_offer(&mut self, host: id::HostName, token: entry::Token, offer: call::Offer) {
+        let Some(request) = self
+            .callers
+            .get(&token)
+            .map(|caller| caller.request.clone())
+        else {
+            return;
+        };
+        if host == self.host {
+            self.hold(&offer, request, Waiter::Entry);
+            self.steps.push_back(Step::Gate(gate::Input::Offer(offer)));
+            return;
+        }
+        let id = offer.id;
+        if !self.send(&host, |peer| Command::Offer(peer, offer, request)) {
+            let lost = entry::Input::Lost(host, id, Sent::Nothing);
+            self.steps.push_back(Step::Entry(lost));
+        }
+    }
+
+    fn send(&self, host: &id::HostName, command: impl FnOnce(Peer) -> Command) -> bool {
+        let Some(peer) = self.peers.get(host) else {
+            return false;
+        };
+        self.rings.daemons.try_send(command(peer.clone())).is_ok()
+    }
+
+    fn done(
+        &mut self,
+        now: Duration,
+        token: entry::Token,
+        verdict: Verdict,
+        ticket: Option<id::Ticket>,
+    ) {
+        let Some(caller) = self.callers.remove(&token) else {
+            return;
+        };
+        let (kind, outcome, reason) = match verdict {
+            Verdict::Answer(_) => match self.arrived.clone() {
+                Some(answer) => (
+                    EndingKind::Answer(answer.head, answer.body),
+                    "answered",
+                    SmolStr::default(),
+                ),
+                None => unknown(Doubt::AnswerNotKept),
+            },
+            Verdict::NotRun(refusal) => (
+                EndingKind::NotRun(refusal),
+                "not-run",
+                refusal.to_string().into(),
+            ),
+            Verdict::Unknown(doubt) => unknown(doubt),
+        };
+        if !reason.is_empty() {
+            debug!(service:% = caller.service, outcome; "call failed: {reason}");
+        }
+        let took = now.saturating_sub(caller.begun);
+        self.instruments
+            .ended(&caller.service, outcome, &reason, took);
+        // The caller may have left.
+        let _ = caller.reply_to.send(Ending { kind, ticket });
+    }
+
+    fn hold(&mut self, offer: &call::Offer, request: Request, waiter: Waiter) {
+        let depth = offer.depth;
+        self.held.entry(offer.id).or_insert(Held { request, depth });
+        self.wait(offer.id, waiter);
+    }
+
+    fn wait(&mut self, id: id::CallId, waiter: Waiter) {
+        self.waiters.entry(id).or_default().push(waiter);
+    }
+
+    fn gate_output(&mut self, now: Duration, output: gate::Output) {
+        match output {
+            gate::Output::Start { id, deadline } => self.start(id, deadline),
+            gate::Output::Cancel(id) => {
+                // A call that is not cancelled only runs to its end.
+                let _ = self.rings.target.try_send(target::Command::Cancel(id));
+            }
+            gate::Output::Reply(id, reply) => self.reply(now, id, reply),
+            gate::Output::Mismatch(id) => {
+                let latest = self.waiters.get_mut(&id).and_then(Vec::pop);
+                let reply = Reply::NotRun(Refusal::WrongRequest);
+                self.reply_to(id, latest, reply, self.gate.hint(now));
+            }
+            gate::Output::Keep(id) => {
+                self.kept.insert(id);
+            }
+            gate::Output::Forget(id) => {
+                self.kept.remove(&id);
+                self.answers.remove(&id);
+            }
+        }
+    }
+
+    fn start(&mut self, id: id::CallId, deadline: Duration) {
+        let Some(held) = self.held.remove(&id) else {
+            warn!("call without a request");
+            return;
+        };
+        let run = target::Run {
+            id,
+            head: held.request.head,
+            body: held.request.body,
+            deadline: self.origin + deadline,
+            depth: held.depth,
+            answer_bytes: self.answer_bytes,
+        };
+        if self
+            .rings
+            .target
+            .try_send(target::Command::Run(run))
+            .is_err()
+        {
+            let outcome = gate::Outcome::NotStarted(Refusal::Overloaded);
+            let finished = gate::Input::Finished(id, outcome);
+            self.steps.push_back(Step::Gate(finished));
+        }
+    }
+
+    fn reply(&mut self, now: Duration, id: id::CallId, reply: Reply) {
+        self.held.remove(&id);
+        let hint = self.gate.hint(now);
+        for waiter in self.waiters.remove(&id).unwrap_or_default() {
+            self.reply_to(id, Some(waiter), reply, hint);
+        }
+    }
+
+    fn reply_to(&mut self, id: id::CallId, waiter: Option<Waiter>, reply: Reply, hint: hint::Hint) {
+        let answer = self.answers.get(&id).filter(|_| reply == Reply::Answer);
+        match waiter {
+            None => {}
+            Some(Waiter::Entry) => {
+                self.arrived = answer.cloned();
+                let input = entry::Input::Reply(self.host.clone(), id, reply, hint);
+                let now = self.now();
+                for output in self.entry.step(now, input) {
+                    self.entry_output(now, output);
+                }
+                self.arrived = None;
+            }
+            Some(Waiter::Daemon(reply_to)) => {
+                let replied = Replied {
+                    reply,
+                    hint,
+                    answer: answer.cloned(),
+                };
+                // The entry may have given the stream up.
+                let _ = reply_to.send(replied);
+            }
+        }
+    }
+}
+
+fn unknown(doubt: Doubt) -> (EndingKind, &'static str, SmolStr) {
+    (
+        EndingKind::Unknown(doubt),
+        "unknown",
+        doubt.to_string().into(),
+    )
+}
--- /dev/null
+++ b/crates/router/src/cmd/apply.rs
@@ -0,0 +1,29 @@
+//! `pollenrouter apply`.
+
+use pollenrouter_operator::document;
+use pollenrouter_platform::client::Client;
+use pollenrouter_platform::object;
+
+use crate::cli;
+use crate::cmd::{self, check, get};
+use crate::error::Error;
+use crate::registry;
+
+/// Writes a checked document on condition of the version it was read at.
+pub fn run(args: &cli::Apply) -> Result<(), Error> {
+    let text = cmd::read(&args.file)?;
+    let service = document::check(&text)
+        .map_err(|findings| Error::Findings(check::print(&args.file, &findings)))?;
+    let client = Client::new(&args.platform.url);
+    let key = object::service_key(&service.name);
+    let mut document = get::document(&client, &service.name)?
+        .map(|(_, document)| document)
+        .unwrap_or_default();
+    document.text = text;
+    let change = registry::change(&args.author, "apply", args.read_at);
+    object::note(&mut document.changes, change);
+    let value = serde_json::to_string(&document).map_err(|err| Error::Object(key.clone(), err))?;
+    let version = client.put_recognized(&key, &value, args.read_at)?;
+    println!("service `{}` is at version {version}", service.name);
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/fleet.rs
@@ -0,0 +1,291 @@
+//! Members, documents and gossip of one daemon.
+
+use std::collections::BTreeMap;
+use std::net;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError, RwLock, mpsc};
+
+use log::{info, warn};
+use pollenrouter_core::membership::{self, Membership};
+use pollenrouter_core::{documents, entry, id, replica, service};
+use pollenrouter_daemon::message::{Command, Gossip, Peer};
+use pollenrouter_operator::document;
+use pollenrouter_platform::object::{self, Member, MemberState};
+
+use crate::registry::Write;
+
+/// Bounds on request bodies by service, shared with the caller thread.
+pub type BodyLimits = Arc<RwLock<BTreeMap<id::ServiceName, u64>>>;
+
+/// What the router thread has to do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Give work to the peer thread.
+    Send(Command),
+    /// The gates that the entry may pick from changed.
+    Members(Vec<entry::Member>),
+    /// A document came into force.
+    Document(service::Service),
+}
+
+/// What a fleet shares with other threads.
+pub struct Shared {
+    /// Bounds on request bodies.
+    pub limits: BodyLimits,
+    /// Whether this daemon watches the platform.
+    pub watching: Arc<AtomicBool>,
+    /// Writes to the platform.
+    pub writes: mpsc::SyncSender<Write>,
+}
+
+/// One daemon's part in the fleet.
+pub struct Fleet {
+    own: Member,
+    membership: Membership,
+    documents: documents::Documents,
+    members: BTreeMap<id::HostName, Member>,
+    heard_from: BTreeMap<id::HostName, net::SocketAddr>,
+    shared: Shared,
+}
+
+impl Fleet {
+    /// A fleet of which nothing is known but `own`.
+    pub fn new(own: Member, shared: Shared) -> Self {
+        Self {
+            membership: Membership::new(membership_member(&own)),
+            documents: documents::Documents::default(),
+            members: BTreeMap::new(),
+            heard_from: BTreeMap::new(),
+            own,
+            shared,
+        }
+    }
+
+    /// Documents in force and rejected.
+    pub fn documents(&self) -> &documents::Documents {
+        &self.documents
+    }
+
+    /// All members that are known, also those that have left.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Whether this daemon watches the platform.
+    pub fn is_watcher(&self) -> bool {
+        self.membership.is_watcher()
+    }
+
+    /// Position of this daemon among the members of its service.
+    pub fn rank(&self) -> usize {
+        self.members
+            .values()
+            .filter(|m| m.state == MemberState::Serving && m.service == self.own.service)
+            .filter(|m| m.host < self.own.host)
+            .count()
+    }
+
+    /// Address of another daemon.
+    pub fn peer(&self, host: &id::HostName) -> Option<Peer> {
+        let known = self.members.get(host).map(|member| member.address);
+        let address = known.or_else(|| self.heard_from.get(host).copied())?;
+        Some(Peer {
+            host: host.clone(),
+            address,
+        })
+    }
+
+    /// Registers this daemon's state at the platform when it has changed.
+    pub fn set_state(&mut self, service: Option<id::ServiceName>, state: MemberState) {
+        let service = service.or_else(|| self.own.service.clone());
+        if self.own.service == service && self.own.state == state {
+            return;
+        }
+        self.own.service = service;
+        self.own.state = state;
+        self.register();
+    }
+
+    /// The platform was read in full.
+    pub fn listed(&mut self, objects: Vec<replica::Object>) -> Vec<Effect> {
+        let mut effects = self.step(membership::Input::Read(objects, rand::random()));
+        for change in self.documents.confirm() {
+            self.document_changed(change, &mut effects);
+        }
+        effects
+    }
+
+    /// Takes a message of another daemon.
+    pub fn heard(&mut self, gossip: Gossip) -> Vec<Effect> {
+        self.heard_from.insert(gossip.host.clone(), gossip.address);
+        let message = membership::Message {
+            digest: gossip.digest,
+            versions: gossip
+                .versions
+                .map(|versions| versions.into_iter().collect()),
+            objects: gossip.objects,
+        };
+        self.step(membership::Input::Heard(
+            gossip.host,
+            message,
+            rand::random(),
+        ))
+    }
+
+    /// Takes any other input.
+    pub fn step(&mut self, input: membership::Input) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut members_changed = false;
+        for output in self.membership.step(input) {
+            match output {
+                membership::Output::Send(host, message) => {
+                    effects.extend(self.gossip(&host, message));
+                }
+                membership::Output::Changed(object) => {
+                    members_changed |= self.changed(&object, &mut effects);
+                }
+                membership::Output::Report(member) => self.report(member),
+            }
+        }
+        if members_changed {
+            self.members_changed(&mut effects);
+        }
+        effects
+    }
+
+    fn gossip(&self, host: &id::HostName, message: membership::Message) -> Option<Effect> {
+        let peer = self.peer(host)?;
+        let gossip = Gossip {
+            host: self.own.host.clone(),
+            address: self.own.address,
+            digest: message.digest,
+            versions: message
+                .versions
+                .map(|versions| versions.into_iter().collect()),
+            objects: message.objects,
+        };
+        Some(Effect::Send(Command::Gossip(peer, gossip)))
+    }
+
+    /// Takes in an object; tells whether it is a member's.
+    fn changed(&mut self, object: &replica::Object, effects: &mut Vec<Effect>) -> bool {
+        if let Some(name) = object.key.strip_prefix(object::SERVICES) {
+            let name = id::ServiceName::new(name);
+            let verdict = verdict(&name, &object.value);
+            if let Some(change) = self.documents.learn(&name, object.version, verdict) {
+                self.document_changed(change, effects);
+            }
+            return false;
+        }
+        if !object.key.starts_with(object::MEMBERS) {
+            return false;
+        }
+        match serde_json::from_str::<Member>(&object.value) {
+            Err(err) => warn!(key:% = object.key; "could not read a member: {err}"),
+            Ok(member) => self.member_changed(member),
+        }
+        true
+    }
+
+    fn member_changed(&mut self, member: Member) {
+        let own_life = member.host == self.own.host && member.incarnation == self.own.incarnation;
+        if own_life && member.state == MemberState::Left && self.own.state != MemberState::Left {
+            warn!("another daemon reported this one as gone, registering again");
+            self.register();
+        }
+        info!(
+            host:% = member.host,
+            state:? = member.state,
+            incarnation = member.incarnation;
+            "member changed"
+        );
+        self.members.insert(member.host.clone(), member);
+    }
+
+    fn document_changed(&mut self, change: documents::Change, effects: &mut Vec<Effect>) {
+        match change {
+            documents::Change::InForce { from, to, service } => {
+                info!(service:% = service.name, from, to; "document in force");
+                self.limits_changed(&service);
+                effects.push(Effect::Document(service));
+            }
+            documents::Change::Rejected {
+                name,
+                version,
+                findings,
+            } => {
+                let findings = findings.join("; ");
+                warn!(service:% = name, version; "document rejected: {findings}");
+            }
+        }
+    }
+
+    fn limits_changed(&self, service: &service::Service) {
+        let limits = self.shared.limits.write();
+        let mut limits = limits.unwrap_or_else(PoisonError::into_inner);
+        limits.insert(service.name.clone(), service.limits.request_bytes);
+    }
+
+    fn members_changed(&mut self, effects: &mut Vec<Effect>) {
+        let there = |member: &&Member| member.state != MemberState::Left;
+        let peers = self.members.values().filter(there).map(membership_member);
+        self.membership
+            .step(membership::Input::Members(peers.collect()));
+        self.shared
+            .watching
+            .store(self.membership.is_watcher(), Ordering::Relaxed);
+        let gates = self.members.values().filter(there).filter_map(entry_member);
+        effects.push(Effect::Members(gates.collect()));
+    }
+
+    fn register(&self) {
+        if self
+            .shared
+            .writes
+            .try_send(Write::Register(self.own.clone()))
+            .is_err()
+        {
+            warn!("could not register: too many writes wait for the platform");
+        }
+    }
+
+    fn report(&self, member: membership::Member) {
+        let write = Write::Report(member.host, member.incarnation);
+        if self.shared.writes.try_send(write).is_err() {
+            warn!("could not report a member: too many writes wait for the platform");
+        }
+    }
+}
+
+/// Verdict on a document as it stands at the platform.
+fn verdict(name: &id::ServiceName, value: &str) -> documents::Verdict {
+    let held: object::Document = serde_json::from_str(value)
+        .map_err(|err| vec![format!("could not read the object: {err}")])?;
+    let service = document::check(&held.text)
+        .map_err(|findings| findings.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+    if service.name != *name {
+        let finding = format!(
+            "document names service `{}` under key `{name}`",
+            service.name
+        );
+        return Err(vec![finding]);
+    }
+    Ok(service)
+}
+
+fn membership_member(member: &Member) -> membership::Member {
+    membership::Member {
+        host: member.host.clone(),
+        failure_domain: member.failure_domain.clone(),
+        incarnation: member.incarnation,
+    }
+}
+
+fn entry_member(member: &Member) -> Option<entry::Member> {
+    Some(entry::Member {
+        host: member.host.clone(),
+        incarnation: member.incarnation,
+        service: member.service.clone()?,
+        serving: member.state == MemberState::Serving,
+    })
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,2 +1,30 @@
-//! pollenrouter
-fn main() {}
+//! pollenrouter: a load balancer daemon that stands beside each target.
+
+mod calls;
+mod cli;
+mod cmd;
+mod error;
+mod event;
+mod fleet;
+mod instruments;
+mod logging;
+mod registry;
+mod router;
+mod routes;
+mod status;
+mod threads;
+mod timer;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    match cmd::run(cli::Cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("pollenrouter: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/registry.rs
@@ -0,0 +1,196 @@
+//! Threads that read and write the platform.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use log::{info, warn};
+use pollenrouter_core::{id, replica};
+use pollenrouter_platform::client::{Client, PlatformError};
+use pollenrouter_platform::object::{self, Change, Member, MemberState};
+use smol_str::SmolStr;
+
+use crate::error::Error;
+use crate::event::{self, Event};
+
+/// Writes that may wait.
+pub const RING: usize = 64;
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const RETRY_PAUSE_MAX: Duration = Duration::from_secs(4);
+/// A daemon that does not watch reads everything this often.
+const READ_INTERVAL: Duration = Duration::from_mins(5);
+const DUTY_CHECK: Duration = Duration::from_secs(1);
+
+/// Writes to the platform.
+#[derive(Debug)]
+pub enum Write {
+    /// This daemon's own state changed.
+    Register(Member),
+    /// A member is gone.
+    Report(id::HostName, id::Incarnation),
+}
+
+/// A change made now.
+pub fn change(author: &str, action: &str, from: id::Version) -> Change {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Change {
+        at: since.unwrap_or_default().as_secs(),
+        author: author.into(),
+        action: action.into(),
+        from,
+        nonce: rand::random(),
+    }
+}
+
+/// Starts the thread that reads.
+pub fn start_reader(
+    client: Client,
+    watching: Arc<AtomicBool>,
+    tx: event::Sender,
+) -> Result<(), Error> {
+    let work = move || {
+        let mut revision = list(&client, &tx);
+        loop {
+            if watching.load(Ordering::Relaxed) {
+                revision = watch(&client, &tx, revision);
+            } else if !wait_for_duty(&watching) {
+                revision = list(&client, &tx);
+            }
+        }
+    };
+    thread::Builder::new()
+        .name("reader".to_owned())
+        .spawn(work)?;
+    Ok(())
+}
+
+/// Reads everything, however long it takes.
+fn list(client: &Client, tx: &event::Sender) -> id::Version {
+    let listing = retry("read the platform", || client.list(""));
+    event::deliver(tx, Event::Listed(listing.objects));
+    listing.revision
+}
+
+fn watch(client: &Client, tx: &event::Sender, revision: id::Version) -> id::Version {
+    match client.watch(revision) {
+        Ok(listing) => {
+            if !listing.objects.is_empty() {
+                event::deliver(tx, Event::Read(listing.objects));
+            }
+            listing.revision.max(revision)
+        }
+        Err(err) => {
+            warn!("could not watch the platform: {err}");
+            thread::sleep(RETRY_PAUSE);
+            revision
+        }
+    }
+}
+
+/// Waits for the duty of watching; tells whether it came.
+fn wait_for_duty(watching: &AtomicBool) -> bool {
+    let checks = READ_INTERVAL.as_millis() / DUTY_CHECK.as_millis();
+    for _ in 0..checks {
+        thread::sleep(DUTY_CHECK);
+        if watching.load(Ordering::Relaxed) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Starts the thread that writes.
+pub fn start_writer(
+    client: Client,
+    author: SmolStr,
+    writes: mpsc::Receiver<Write>,
+    tx: event::Sender,
+) -> Result<(), Error> {
+    let work = move || {
+        for write in writes {
+            let written = match &write {
+                Write::Register(member) => retry("register", || register(&client, member, &author)),
+                Write::Report(host, incarnation) => report(&client, host, *incarnation, &author)
+                    .unwrap_or_else(|err| {
+                        warn!(host:%; "could not report a member: {err}");
+                        None
+                    }),
+            };
+            event::deliver(&tx, Event::Read(written.into_iter().collect()));
+        }
+    };
+    thread::Builder::new()
+        .name("writer".to_owned())
+        .spawn(work)?;
+    Ok(())
+}
+
+type Written = Result<Option<replica::Object>, PlatformError>;
+
+fn register(client: &Client, member: &Member, author: &str) -> Written {
+    let key = object::member_key(&member.host);
+    let held = client.get(&key)?;
+    let version = held.as_ref().map_or(0, |object| object.version);
+    let mut member = member.clone();
+    member.changes = held
+        .as_ref()
+        .and_then(parse)
+        .map_or_else(Vec::new, |m| m.changes);
+    put(client, &key, member, version, author)
+}
+
+fn report(client: &Client, host: &str, incarnation: id::Incarnation, author: &str) -> Written {
+    let key = object::member_key(host);
+    let Some(held) = client.get(&key)? else {
+        return Ok(None);
+    };
+    let Some(mut member) = parse(&held) else {
+        return Ok(None);
+    };
+    if member.incarnation != incarnation || member.state == MemberState::Left {
+        return Ok(Some(held));
+    }
+    info!(host:%; "reporting a member as gone");
+    member.state = MemberState::Left;
+    put(client, &key, member, held.version, author)
+}
+
+fn put(
+    client: &Client,
+    key: &SmolStr,
+    mut member: Member,
+    version: id::Version,
+    author: &str,
+) -> Written {
+    let action = match member.state {
+        MemberState::Serving => "serving",
+        MemberState::Leaving => "leaving",
+        MemberState::Left => "left",
+    };
+    object::note(&mut member.changes, change(author, action, version));
+    let value = SmolStr::from(serde_json::to_string(&member).unwrap_or_default());
+    let version = client.put_recognized(key, &value, version)?;
+    Ok(Some(replica::Object {
+        key: key.clone(),
+        version,
+        value,
+    }))
+}
+
+fn parse(object: &replica::Object) -> Option<Member> {
+    serde_json::from_str(&object.value).ok()
+}
+
+fn retry<T>(what: &str, mut work: impl FnMut() -> Result<T, PlatformError>) -> T {
+    let mut pause = RETRY_PAUSE;
+    loop {
+        match work() {
+            Ok(value) => return value,
+            Err(err) => warn!("could not {what}: {err}"),
+        }
+        thread::sleep(pause);
+        pause = (pause * 2).min(RETRY_PAUSE_MAX);
+    }
+}
--- /dev/null
+++ b/crates/router/src/status.rs
@@ -0,0 +1,79 @@
+//! Status of one daemon, as operators see it.
+
+use pollenrouter_core::hint;
+use serde_json::{Value, json};
+
+use crate::calls::Calls;
+use crate::fleet::Fleet;
+
+/// The status as JSON.
+pub fn of(fleet: &Fleet, calls: &Calls, stopping: bool) -> Value {
+    json!({
+        "documents": documents(fleet),
+        "documents_confirmed": fleet.documents().is_confirmed(),
+        "rejected": rejected(fleet),
+        "members": fleet.members().map(|m| json!({
+            "host": m.host,
+            "failure_domain": m.failure_domain,
+            "service": m.service,
+            "incarnation": format!("{:x}", m.incarnation),
+            "address": m.address,
+            "state": m.state,
+        })).collect::<Vec<_>>(),
+        "gates": gates(calls),
+        "own": json!({
+            "incarnation": format!("{:x}", calls.gate().incarnation()),
+            "load": load(&calls.gate().hint(calls.now())),
+            "remembered_calls": calls.gate().remembered(),
+            "watches_platform": fleet.is_watcher(),
+            "stopping": stopping,
+        }),
+    })
+}
+
+fn documents(fleet: &Fleet) -> Value {
+    fleet
+        .documents()
+        .in_force()
+        .map(|(version, service)| json!({ "service": service.name, "version": version }))
+        .collect()
+}
+
+fn rejected(fleet: &Fleet) -> Value {
+    fleet
+        .documents()
+        .rejected()
+        .map(|(name, (version, findings))| {
+            json!({ "service": name, "version": version, "findings": findings })
+        })
+        .collect()
+}
+
+fn gates(calls: &Calls) -> Value {
+    let now = calls.now();
+    calls
+        .entry()
+        .gates()
+        .map(|(member, known)| {
+            json!({
+                "host": member.host,
+                "service": member.service,
+                "serving": member.serving,
+                "outstanding": known.outstanding,
+                "reported": known.report.map(|(hint, _)| load(&hint)),
+                "age_ms": known.report.map(|(_, at)| now.saturating_sub(at).as_millis()),
+            })
+        })
+        .collect()
+}
+
+fn load(hint: &hint::Hint) -> Value {
+    json!({
+        "running": hint.running,
+        "waiting": hint.waiting,
+        "slots": hint.slots,
+        "mean_us": hint.mean.as_micros(),
+        "failing": hint.failing,
+        "leaving": hint.leaving,
+    })
+}
