Name the announcements listener apart from the log's own field

Cause: the JSON log has a field "target" of its own, so the demo could not read the daemon's addresses. Ruled out: parsing the log by hand; the field's name was the fault.

--- a/crates/dev/src/deployment.rs
+++ b/crates/dev/src/deployment.rs
@@ -51,8 +51,8 @@
     pub public: SocketAddr,
     /// For services.
     pub internal: SocketAddr,
-    /// For the target.
-    pub target: SocketAddr,
+    /// For the target's announcements.
+    pub announcements: SocketAddr,
     /// For operators.
     pub operator: SocketAddr,
     /// For daemons.
@@ -149,7 +149,7 @@
             let (daemon, addresses) = start_daemon(&name, &settings)?;
             let ledger = self.folder.path().join(format!("{name}.ledger"));
             let (target, target_address) =
-                start_target(&name, service, addresses.target, &ledger, nth)?;
+                start_target(&name, service, addresses.announcements, &ledger, nth)?;
             self.hosts.push(Host {
                 name,
                 service: service.name,
@@ -243,7 +243,7 @@
         self.daemon = Some(daemon);
         self.addresses = addresses;
         let control = target::Control {
-            daemon: Some(self.addresses.target),
+            daemon: Some(self.addresses.announcements),
             ..target::Control::default()
         };
         self.control(&control)
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -141,7 +141,7 @@
         incarnation:% = format!("{:x}", own.incarnation),
         public:% = sockets.public.local_addr()?,
         internal:% = sockets.internal.local_addr()?,
-        target:% = sockets.target.local_addr()?,
+        announcements:% = sockets.target.local_addr()?,
         operator:% = sockets.operator.local_addr()?,
         daemons:% = own.address;
         "listening"
