Carry calls on one thread instead of one thread for each part

Cause: a call changed threads up to eight times; waking an idle thread costs about 30 us here, so hand-overs were the largest part of what the path adds. Ruled out: the hop itself (own gate, without a hop, paid 291 us at p50 too). Carrying calls is one duty with one thread; platform reads, platform writes, timers and signals keep their own.

--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -1,4 +1,4 @@
-//! Messages between the caller thread and its embedder.
+//! Messages between the listeners and their embedder.
 
 use std::time::Duration;
 
@@ -47,7 +47,7 @@
     Unknown(call::Doubt),
 }
 
-/// What the caller thread tells its embedder.
+/// What the listeners tell their embedder.
 #[derive(Debug)]
 pub enum Event {
     /// A request is whole.
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,4 +1,4 @@
-//! Messages between daemons, and between the peer thread and its embedder.
+//! Messages between daemons, and between the protocol and its embedder.
 
 use std::net;
 
@@ -60,7 +60,7 @@
     pub objects: Vec<replica::Object>,
 }
 
-/// Work for the peer thread.
+/// Work for the protocol.
 #[derive(Debug)]
 pub enum Command {
     /// Send an offer.
@@ -78,7 +78,7 @@
 /// Where the reply to a received message goes.
 pub type ReplyTo = oneshot::Sender<Replied>;
 
-/// What the peer thread tells its embedder.
+/// What the protocol tells its embedder.
 #[derive(Debug)]
 pub enum Event {
     /// An entry offers a call.
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,4 +1,4 @@
-//! The peer thread's work: one endpoint that accepts, one client that asks.
+//! The protocol's work: one endpoint that accepts, one client that asks.
 
 use std::io;
 use std::net;
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -39,11 +39,11 @@
     reply_to: oneshot::Sender<Ending>,
 }
 
-/// Rings to the threads that do the work.
+/// Rings to the parts that do the work.
 pub struct Rings {
-    /// To the peer thread.
+    /// To the protocol.
     pub daemons: mpsc::Sender<Command>,
-    /// To the target thread.
+    /// To the target's client.
     pub target: mpsc::Sender<target::Command>,
 }
 
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,11 +1,9 @@
-//! Events of the router thread, and the bounded ring that carries them.
-
-use std::sync::mpsc;
+//! Events of the router, and the bounded ring that carries them.
 
 use pollenrouter_core::replica;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-/// Events that may wait for the router thread.
+/// Events that may wait for the router.
 pub const RING: usize = 8192;
 
 /// What happens to a daemon.
@@ -32,14 +30,15 @@
 }
 
 /// Sending end of the ring.
-pub type Sender = mpsc::SyncSender<Event>;
+pub type Sender = mpsc::Sender<Event>;
 
 /// Sends an event unless the ring is full.
 pub fn offer(tx: &Sender, event: Event) -> bool {
     tx.try_send(event).is_ok()
 }
 
-/// Sends an event and waits for room; a router that has ended needs none.
+/// Sends an event from another thread and waits for room; a router that has
+/// ended needs none.
 pub fn deliver(tx: &Sender, event: Event) {
-    let _ = tx.send(event);
+    let _ = tx.blocking_send(event);
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -14,13 +14,13 @@
 
 use crate::registry::Write;
 
-/// Bounds on request bodies by service, shared with the caller thread.
+/// Bounds on request bodies by service, shared with the listeners.
 pub type BodyLimits = Arc<RwLock<BTreeMap<id::ServiceName, u64>>>;
 
-/// What the router thread has to do.
+/// What the router has to do.
 #[derive(Debug)]
 pub enum Effect {
-    /// Give work to the peer thread.
+    /// Give work to the protocol.
     Send(Command),
     /// The gates that the entry may pick from changed.
     Members(Vec<entry::Member>),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,7 +1,6 @@
-//! The router thread: takes events in order and decides.
+//! The router: takes events in order and decides.
 
 use std::collections::BTreeMap;
-use std::sync::mpsc;
 use std::time::Duration;
 
 use log::info;
@@ -55,8 +54,8 @@
     }
 
     /// Takes events until a planned stop is done.
-    pub fn run(mut self, rx: &mpsc::Receiver<Event>) {
-        while let Ok(event) = rx.recv() {
+    pub async fn run(mut self, mut rx: ring::Receiver<Event>) {
+        while let Some(event) = rx.recv().await {
             self.take(event);
             if self.is_done() {
                 break;
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -1,12 +1,13 @@
 //! Threads of a daemon, one for each duty, and the bounded rings between them.
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, PoisonError, mpsc};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::Duration;
 
-use log::{error, info};
+use log::info;
 use pollenrouter_caller::listener as callers;
 use pollenrouter_core::{id, membership, service};
 use pollenrouter_daemon::{keys, message as daemon, peer, tls};
@@ -28,7 +29,7 @@
 use crate::router::Router;
 use crate::timer::Timer;
 
-/// Commands that may wait for the peer thread, and for the target thread.
+/// Commands that may wait for the protocol, and for the target's client.
 const RING: usize = 4096;
 const TICK: Duration = Duration::from_millis(10);
 /// Time for the last write to the platform and the last answers.
@@ -42,6 +43,19 @@
     daemons: UdpSocket,
 }
 
+/// All that carrying calls needs.
+struct Work {
+    sockets: Sockets,
+    transport: tls::Transport,
+    commands: ring::Receiver<daemon::Command>,
+    target_commands: ring::Receiver<target::Command>,
+    limits: BodyLimits,
+    metrics: prometheus::Registry,
+    router: Router,
+    tx: event::Sender,
+    rx: ring::Receiver<Event>,
+}
+
 /// Runs a daemon until a planned stop is done.
 pub fn run(settings: settings::Settings) -> Result<(), Error> {
     let transport = tls::transport(&keys::Keys {
@@ -50,11 +64,10 @@
         key: settings.keys.key.to_string(),
     })?;
     let sockets = bind(&settings.listen)?;
-    let (tx, rx) = mpsc::sync_channel(event::RING);
+    let (tx, rx) = ring::channel(event::RING);
     let (daemons, daemon_commands) = ring::channel(RING);
     let (to_target, target_commands) = ring::channel(RING);
     let (writes, write_commands) = mpsc::sync_channel(registry::RING);
-    let (stop, stopping) = watch::channel(false);
     let incarnation: id::Incarnation = rand::random();
     let limits = BodyLimits::default();
     let watching = Arc::new(AtomicBool::new(false));
@@ -84,23 +97,23 @@
     let fleet = Fleet::new(own, shared);
     let router = Router::new(fleet, calls, daemons, to_target, settings.stop_timeout);
 
-    let peers = start_peers(sockets.daemons, transport, daemon_commands, &tx)?;
-    let target = start_target(sockets.target, target_commands, &tx, &stopping)?;
-    let listeners = Listeners {
-        public: sockets.public,
-        internal: sockets.internal,
-        operator: sockets.operator,
+    let work = Work {
+        sockets,
+        transport,
+        commands: daemon_commands,
+        target_commands,
+        limits,
+        metrics,
+        router,
+        tx: tx.clone(),
+        rx,
     };
-    let callers = start_callers(listeners, limits, metrics, &tx, &stopping)?;
     start_timer(&tx)?;
     start_signals(tx)?;
-
-    router.run(&rx);
-    drop(rx);
-    stop.send_replace(true);
-    let _ = callers.join();
-    let _ = peers.join();
-    let _ = target.join();
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    task::LocalSet::new().block_on(&runtime, carry(work))?;
     thread::sleep(LAST_WRITES);
     info!("stopped");
     Ok(())
@@ -149,98 +162,92 @@
     Ok(())
 }
 
-/// Starts a thread with a current-thread runtime of its own.
-fn start<F>(
-    name: &'static str,
-    work: impl FnOnce() -> F + Send + 'static,
-) -> Result<JoinHandle<()>, Error>
-where
-    F: Future<Output = std::io::Result<()>> + 'static,
-{
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let body = move || {
-        let local = task::LocalSet::new();
-        if let Err(err) = local.block_on(&runtime, async { work().await }) {
-            error!("thread {name} failed: {err}");
-        }
-    };
-    Ok(thread::Builder::new().name(name.to_owned()).spawn(body)?)
-}
-
-fn start_peers(
-    socket: UdpSocket,
-    transport: tls::Transport,
-    commands: ring::Receiver<daemon::Command>,
-    tx: &event::Sender,
-) -> Result<JoinHandle<()>, Error> {
-    let tx = tx.clone();
-    let sink: peer::Sink = Arc::new(move |event| event::offer(&tx, Event::Daemon(event)));
-    start("daemons", move || {
-        peer::run(socket, transport, commands, sink)
-    })
+/// Carries calls on one thread: listeners, protocol, target and decisions.
+/// A call changes hands between them without waking another thread.
+async fn carry(work: Work) -> std::io::Result<()> {
+    let Work {
+        sockets,
+        transport,
+        commands,
+        target_commands,
+        limits,
+        metrics,
+        router,
+        tx,
+        rx,
+    } = work;
+    let (stop, stopping) = watch::channel(false);
+    let events = tx.clone();
+    let sink: peer::Sink = Arc::new(move |event| event::offer(&events, Event::Daemon(event)));
+    let peers = task::spawn_local(peer::run(sockets.daemons, transport, commands, sink));
+    start_target(
+        sockets.target,
+        target_commands,
+        tx.clone(),
+        stopping.clone(),
+    );
+    start_operators(sockets.operator, metrics, tx.clone(), stopping.clone());
+    let cx = callers_context(limits, tx);
+    let everyone = service::Audience::Everyone;
+    let internal = service::Audience::Internal;
+    let public = callers::serve(sockets.public, everyone, cx.clone(), stopping.clone());
+    let internal = callers::serve(sockets.internal, internal, cx, stopping);
+    let (public, internal) = (task::spawn_local(public), task::spawn_local(internal));
+    router.run(rx).await;
+    stop.send_replace(true);
+    public.await??;
+    internal.await??;
+    peers.await??;
+    Ok(())
 }
 
 fn start_target(
     listener: TcpListener,
     mut commands: ring::Receiver<target::Command>,
-    tx: &event::Sender,
-    stopping: &watch::Receiver<bool>,
-) -> Result<JoinHandle<()>, Error> {
-    let tx = tx.clone();
-    let stopping = stopping.clone();
-    start("target", move || async move {
-        let sender = sender::Sender::new(Arc::new(move |event| {
-            event::deliver(&tx, Event::Target(event));
-        }));
-        task::spawn_local(announcement::serve(listener, sender.clone(), stopping));
+    tx: event::Sender,
+    stopping: watch::Receiver<bool>,
+) {
+    let sender = sender::Sender::new(Rc::new(move |event| {
+        tx.try_send(Event::Target(event)).or_else(returned)
+    }));
+    task::spawn_local(announcement::serve(listener, sender.clone(), stopping));
+    task::spawn_local(async move {
         while let Some(command) = commands.recv().await {
             sender.run(command);
         }
-        Ok(())
-    })
+    });
 }
 
-struct Listeners {
-    public: TcpListener,
-    internal: TcpListener,
-    operator: TcpListener,
+/// Gives back an event that there was no room for; a router that has ended
+/// needs none.
+fn returned(err: ring::error::TrySendError<Event>) -> Result<(), target::Event> {
+    match err {
+        ring::error::TrySendError::Full(Event::Target(event)) => Err(event),
+        _ => Ok(()),
+    }
 }
 
-fn start_callers(
-    listeners: Listeners,
-    limits: BodyLimits,
+fn start_operators(
+    listener: TcpListener,
     metrics: prometheus::Registry,
-    tx: &event::Sender,
-    stopping: &watch::Receiver<bool>,
-) -> Result<JoinHandle<()>, Error> {
-    let calls = tx.clone();
-    let asks = tx.clone();
-    let stopping = stopping.clone();
-    start("callers", move || async move {
-        let cx = callers::Context {
-            sink: Arc::new(move |event| event::offer(&calls, Event::Caller(event))),
-            body_limit: Arc::new(move |service| {
-                let limits = limits.read().unwrap_or_else(PoisonError::into_inner);
-                limits.get(service).copied()
-            }),
-            tokens: Arc::new(AtomicU64::new(1)),
-        };
-        let status: operators::Status =
-            Arc::new(move |reply_to| event::offer(&asks, Event::Status(reply_to)));
-        let metrics: operators::Metrics = Arc::new(move || instruments::render(&metrics));
-        let everyone = service::Audience::Everyone;
-        let internal = service::Audience::Internal;
-        let operator = operators::serve(listeners.operator, status, metrics, stopping.clone());
-        let operator = task::spawn_local(operator);
-        let (public, internal) = tokio::join!(
-            callers::serve(listeners.public, everyone, cx.clone(), stopping.clone()),
-            callers::serve(listeners.internal, internal, cx, stopping),
-        );
-        operator.abort();
-        public.and(internal)
-    })
+    tx: event::Sender,
+    stopping: watch::Receiver<bool>,
+) {
+    let status: operators::Status =
+        Arc::new(move |reply_to| event::offer(&tx, Event::Status(reply_to)));
+    let metrics: operators::Metrics = Arc::new(move || instruments::render(&metrics));
+    task::spawn_local(operators::serve(listener, status, metrics, stopping));
+}
+
+fn callers_context(limits: BodyLimits, tx: event::Sender) -> callers::Context {
+    callers::Context {
+        sink: Arc::new(move |event| event::offer(&tx, Event::Caller(event))),
+        body_limit: Arc::new(move |service| {
+            let limits = limits.read().unwrap_or_else(PoisonError::into_inner);
+            limits.get(service).copied()
+        }),
+        tokens: Arc::new(AtomicU64::new(1)),
+    }
 }
 
 fn start_timer(tx: &event::Sender) -> Result<(), Error> {
--- a/crates/target/src/announcement.rs
+++ b/crates/target/src/announcement.rs
@@ -65,13 +65,13 @@
     match serde_json::from_slice::<Announcement>(&body) {
         Err(err) => problem::text(StatusCode::BAD_REQUEST, format!("announcement: {err}\n")),
         Ok(announcement) => {
-            take(sender, announcement);
+            take(sender, announcement).await;
             problem::text(StatusCode::OK, String::new())
         }
     }
 }
 
-fn take(sender: &sender::Sender, announcement: Announcement) {
+async fn take(sender: &sender::Sender, announcement: Announcement) {
     let address = announcement.address;
     sender.set_address(address);
     let announcement = gate::Announcement {
@@ -80,6 +80,5 @@
         draining: announcement.draining,
         cold_start: Duration::from_millis(announcement.cold_start_ms),
     };
-    // Announcements repeat, so one that a full ring turned away is made up for.
-    sender.tell(Event::Announced(announcement, address));
+    sender.tell(Event::Announced(announcement, address)).await;
 }
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -1,4 +1,4 @@
-//! Messages between the target thread and its embedder.
+//! Messages between the target's client and its embedder.
 
 use std::net;
 use std::time::{Duration, Instant};
@@ -23,7 +23,7 @@
     pub answer_bytes: u64,
 }
 
-/// Work for the target thread.
+/// Work for the target's client.
 #[derive(Debug)]
 pub enum Command {
     /// Send a call.
@@ -34,7 +34,7 @@
     Probe,
 }
 
-/// What the target thread tells its embedder.
+/// What the target's client tells its embedder.
 #[derive(Debug)]
 pub enum Event {
     /// The target announced itself; the address takes calls.
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::net;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -24,12 +23,13 @@
 const DEPTH: &str = "pollenrouter-depth";
 /// Time after the deadline for which a started call's answer is awaited.
 const AFTER_DEADLINE: Duration = Duration::from_mins(1);
+const ROOM_PAUSE: Duration = Duration::from_millis(1);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_PATH: &str = "/.target/cancel/";
 const HEALTH_PATH: &str = "/.target/health";
 
-/// Takes events; waits for room, since no event may be lost.
-pub type Sink = Arc<dyn Fn(Event) + Send + Sync>;
+/// Takes events; gives one back that there is no room for.
+pub type Sink = Rc<dyn Fn(Event) -> Result<(), Event>>;
 type Answer = (exchange::AnswerHead, Bytes);
 
 /// Sends calls to the target that announced itself last.
@@ -57,9 +57,13 @@
         }
     }
 
-    /// Tells the embedder.
-    pub fn tell(&self, event: Event) {
-        (self.sink)(event);
+    /// Tells the embedder; waits for room, since no event may be lost.
+    pub async fn tell(&self, event: Event) {
+        let mut event = event;
+        while let Err(returned) = (self.sink)(event) {
+            event = returned;
+            time::sleep(ROOM_PAUSE).await;
+        }
     }
 
     /// Starts work on a command.
@@ -81,7 +85,7 @@
             Ok(answer) => (answered(&answer), Some(answer)),
             Err(outcome) => (outcome, None),
         };
-        self.tell(Event::Finished(id, outcome, answer));
+        self.tell(Event::Finished(id, outcome, answer)).await;
     }
 
     async fn send(&self, run: Run) -> Result<Answer, gate::Outcome> {
@@ -123,7 +127,7 @@
     async fn probe(&self) {
         let begun = Instant::now();
         let healthy = self.ask(Method::GET, HEALTH_PATH).await;
-        self.tell(Event::Probed(healthy, begun.elapsed()));
+        self.tell(Event::Probed(healthy, begun.elapsed())).await;
     }
 
     async fn ask(&self, method: Method, path: &str) -> bool {
