--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -90,7 +90,7 @@
 ) -> Response<Full<Bytes>> {
     let token = cx.tokens.fetch_add(1, Ordering::Relaxed);
     let (reply_to, ended) = oneshot::channel();
-    let call = Call {
+    let call = Box::new(Call {
         token,
         service: parsed.service,
         head: parsed.head,
@@ -99,7 +99,7 @@
         depth: depth(audience, parsed.depth),
         ticket: parsed.ticket,
         reply_to,
-    };
+    });
     if !(cx.sink)(Event::Call(call)) {
         return ending::refused(Refusal::Overloaded);
     }
--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -51,7 +51,7 @@
 #[derive(Debug)]
 pub enum Event {
     /// A request is whole.
-    Call(Call),
+    Call(Box<Call>),
     /// The caller left before its answer.
     Gone(entry::Token),
     /// A caller asks for a ticket.
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -114,34 +114,10 @@
     heard: Duration,
 }
 
-/// Rules that can be switched off to show that the proofs notice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Safeguards {
-    /// Refuse offers that name another incarnation.
-    pub incarnation: bool,
-    /// Record a refusal as void before it is said.
-    pub void: bool,
-    /// Remember ids that were started.
-    pub records: bool,
-    /// Refuse unseen ids below the low-water mark.
-    pub low_water: bool,
-}
-
-impl Safeguards {
-    /// All rules, as the daemon runs.
-    pub const ALL: Self = Self {
-        incarnation: true,
-        void: true,
-        records: true,
-        low_water: true,
-    };
-}
-
 /// State of one gate.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Gate {
     incarnation: id::Incarnation,
-    safeguards: Safeguards,
     document: Option<service::Service>,
     target: Option<Target>,
     draining: bool,
@@ -157,10 +133,9 @@
 impl Gate {
     /// A gate that remembers up to `records_max` ids.
     #[must_use]
-    pub fn new(incarnation: id::Incarnation, records_max: usize, safeguards: Safeguards) -> Self {
+    pub fn new(incarnation: id::Incarnation, records_max: usize) -> Self {
         Self {
             incarnation,
-            safeguards,
             document: None,
             target: None,
             draining: false,
@@ -237,30 +212,24 @@
 
     fn offer(&mut self, now: Duration, offer: &call::Offer, out: &mut Vec<Output>) {
         let id = offer.id;
-        if self.safeguards.incarnation && offer.incarnation != self.incarnation {
+        if offer.incarnation != self.incarnation {
             out.push(reply_not_run(id, Refusal::WrongIncarnation));
             return;
         }
-        match self.known(id) {
+        match self.records.known(id) {
             Known::Record(record) => Self::resend(id, record, offer.fingerprint, out),
             Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
             Known::New => match self.judge(now, offer) {
                 Err(refusal) => self.refuse(id, refusal, Some(offer.fingerprint), out),
                 Ok(waiting) => {
-                    self.record(id, State::Waiting, Some(offer.fingerprint));
+                    self.records
+                        .set(id, State::Waiting, Some(offer.fingerprint));
                     self.waiting.push(waiting);
                 }
             },
         }
     }
 
-    fn known(&self, id: id::CallId) -> Known {
-        match self.records.known(id) {
-            Known::Expired if !self.safeguards.low_water => Known::New,
-            known => known,
-        }
-    }
-
     fn resend(id: id::CallId, record: records::Record, fingerprint: u64, out: &mut Vec<Output>) {
         if differs(record.fingerprint, fingerprint) {
             out.push(Output::Mismatch(id));
@@ -323,7 +292,7 @@
 
     fn query(&mut self, query: call::Query, out: &mut Vec<Output>) {
         let id = query.id;
-        if self.safeguards.incarnation && query.incarnation != self.incarnation {
+        if query.incarnation != self.incarnation {
             out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
             return;
         }
@@ -377,18 +346,10 @@
         fingerprint: Option<u64>,
         out: &mut Vec<Output>,
     ) {
-        if self.safeguards.void {
-            self.record(id, State::Void(refusal), fingerprint);
-        }
+        self.records.set(id, State::Void(refusal), fingerprint);
         out.push(reply_not_run(id, refusal));
     }
 
-    fn record(&mut self, id: id::CallId, state: State, fingerprint: Option<u64>) {
-        if self.safeguards.records || matches!(state, State::Void(_)) {
-            self.records.set(id, state, fingerprint);
-        }
-    }
-
     fn finished(&mut self, now: Duration, id: id::CallId, outcome: Outcome, out: &mut Vec<Output>) {
         let Some(running) = self.running.remove(&id) else {
             return;
@@ -407,7 +368,7 @@
             }
             Outcome::Lost => {
                 self.note_outcome(true);
-                self.record(id, State::Lost, None);
+                self.records.set(id, State::Lost, None);
                 out.push(Output::Reply(id, Reply::Unknown(Doubt::TargetLost)));
             }
         }
@@ -421,7 +382,7 @@
         bytes: u64,
         out: &mut Vec<Output>,
     ) {
-        self.record(id, State::Done { kept: once }, None);
+        self.records.set(id, State::Done { kept: once }, None);
         if !once {
             return;
         }
@@ -447,7 +408,7 @@
         if let Some((id, bytes, _)) = self.kept.pop_front() {
             self.kept_bytes -= bytes;
             if matches!(self.records.known(id), Known::Record(_)) {
-                self.record(id, State::Done { kept: false }, None);
+                self.records.set(id, State::Done { kept: false }, None);
             }
             out.push(Output::Forget(id));
         }
@@ -523,7 +484,7 @@
     fn start_waiting(&mut self, now: Duration, out: &mut Vec<Output>) {
         while let Some(at) = queue::next(&self.waiting, self.slots(now), now) {
             let w = self.waiting.remove(at);
-            self.record(w.id, State::Running, None);
+            self.records.set(w.id, State::Running, None);
             out.push(Output::Start {
                 id: w.id,
                 deadline: w.deadline,
--- a/crates/dev/src/ledger.rs
+++ b/crates/dev/src/ledger.rs
@@ -32,6 +32,8 @@
     End,
     /// The call was refused before it began.
     Shed,
+    /// The run ended early because it was told to.
+    Cancelled,
     /// The connection closed while the run was under way.
     Cut,
 }
@@ -51,12 +53,16 @@
     }
 
     /// Writes one line at once, so that a kill loses nothing.
-    pub fn write(&mut self, line: &Line) {
+    ///
+    /// # Errors
+    /// The line can not be written.
+    pub fn write(&mut self, line: &Line) -> io::Result<()> {
         if let Some(f) = &mut self.0 {
             let mut text = serde_json::to_vec(line).unwrap_or_default();
             text.push(b'\n');
-            f.write_all(&text).expect("ledger must be written");
+            f.write_all(&text)?;
         }
+        Ok(())
     }
 }
 
--- a/crates/dev/src/process.rs
+++ b/crates/dev/src/process.rs
@@ -73,20 +73,16 @@
     /// # Errors
     /// The line does not come in time.
     pub fn expect<T>(&self, wanted: impl Fn(&str) -> Option<T>) -> Result<T, Error> {
-        loop {
-            match self.lines.recv_timeout(START_TIMEOUT) {
-                Ok(line) => {
-                    if let Some(found) = wanted(&line) {
-                        return Ok(found);
-                    }
-                }
-                Err(_) => {
-                    let latest = self.latest().join("\n");
-                    let reason = format!("did not print its address; printed:\n{latest}");
-                    return Err(Error::Process(self.name.clone(), reason));
-                }
+        while let Ok(line) = self.lines.recv_timeout(START_TIMEOUT) {
+            if let Some(found) = wanted(&line) {
+                return Ok(found);
             }
         }
+        let reason = format!(
+            "did not print its address; printed:\n{}",
+            self.latest().join("\n")
+        );
+        Err(Error::Process(self.name.clone(), reason))
     }
 
     /// Latest lines.
--- a/crates/dev/src/target.rs
+++ b/crates/dev/src/target.rs
@@ -2,6 +2,7 @@
 //! slow-down, fail-fast, and a ledger of every run.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -19,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use smol_str::SmolStr;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::{runtime, task, time};
 
 use crate::error::Error;
@@ -28,6 +29,8 @@
 const BODY_MAX_BYTES: u64 = 16 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+const CALL: &str = "pollenrouter-call";
+const CANCELLED: StatusCode = StatusCode::GONE;
 /// Header with the time that a run took, microseconds.
 pub const TOOK: &str = "target-took-us";
 /// Header by which a caller of the tools states a run's service time.
@@ -79,6 +82,10 @@
     pub fail_fast: bool,
     /// Refuses every call.
     pub shed: bool,
+    /// Health states so many running calls, whatever runs.
+    pub claimed_running: Option<u32>,
+    /// Health is answered this late, milliseconds.
+    pub health_lag_ms: u64,
     /// Target address of the daemon on its host.
     pub daemon: Option<SocketAddr>,
 }
@@ -90,6 +97,8 @@
             slow_factor: 1,
             fail_fast: false,
             shed: false,
+            claimed_running: None,
+            health_lag_ms: 0,
             daemon: None,
         }
     }
@@ -99,6 +108,7 @@
     profile: Profile,
     control: RefCell<Control>,
     running: RefCell<u32>,
+    cancels: RefCell<BTreeMap<SmolStr, Rc<Notify>>>,
     ledger: RefCell<Ledger>,
     rng: RefCell<SmallRng>,
 }
@@ -124,6 +134,7 @@
     let target = Rc::new(Target {
         control: RefCell::new(control),
         running: RefCell::new(0),
+        cancels: RefCell::default(),
         ledger: RefCell::new(Ledger::open(profile.ledger.as_deref())?),
         rng: RefCell::new(SmallRng::seed_from_u64(profile.seed)),
         profile,
@@ -144,14 +155,15 @@
 struct Run<'a> {
     target: &'a Target,
     line: Line,
-    ended: bool,
 }
 
 impl Drop for Run<'_> {
     fn drop(&mut self) {
         *self.target.running.borrow_mut() -= 1;
-        self.line.step = if self.ended { Step::End } else { Step::Cut };
-        self.target.ledger.borrow_mut().write(&self.line);
+        if self.line.step == Step::Begin {
+            self.line.step = Step::Cut;
+        }
+        self.target.note(&self.line);
     }
 }
 
@@ -199,15 +211,27 @@
     async fn handle(&self, req: Request<Incoming>) -> Answer {
         match req.uri().path() {
             "/.target/health" => {
-                let running = *self.running.borrow();
+                let control = self.control.borrow().clone();
+                let counted = *self.running.borrow();
+                time::sleep(Duration::from_millis(control.health_lag_ms)).await;
+                let running = control.claimed_running.unwrap_or(counted);
                 problem::json(StatusCode::OK, &json!({ "running": running }))
             }
             "/.target/control" => self.set(req).await,
-            path if path.starts_with("/.target/") => problem::text(StatusCode::OK, String::new()),
-            _ => self.call(req).await,
+            path => match path.strip_prefix("/.target/cancel/") {
+                Some(id) => self.cancel(id),
+                None => self.call(req).await,
+            },
         }
     }
 
+    fn cancel(&self, id: &str) -> Answer {
+        if let Some(cancelled) = self.cancels.borrow().get(id) {
+            cancelled.notify_one();
+        }
+        problem::text(StatusCode::OK, String::new())
+    }
+
     async fn set(&self, req: Request<Incoming>) -> Answer {
         let body = body::read(req.into_body(), BODY_MAX_BYTES, BODY_TIMEOUT).await;
         let control = body
@@ -229,6 +253,7 @@
             route: format!("{} {}", req.method(), req.uri().path()).into(),
             step: Step::Begin,
         };
+        let id = SmolStr::new(head::text(req.headers(), CALL).unwrap_or(""));
         let number = |name| head::text(req.headers(), name).and_then(|text| text.parse().ok());
         let work = number(WORK).map(Duration::from_micros);
         let size: u64 = number(SIZE).unwrap_or(0);
@@ -245,26 +270,41 @@
         let begun = Instant::now();
         let mut run = self.begin(line);
         let work = work.unwrap_or_else(|| self.draw()) * control.slow_factor;
-        if !work.is_zero() {
-            time::sleep(work).await;
+        let cancelled = Rc::<Notify>::default();
+        self.cancels
+            .borrow_mut()
+            .insert(id.clone(), cancelled.clone());
+        let ended = tokio::select! {
+            biased;
+            () = cancelled.notified() => Step::Cancelled,
+            () = time::sleep(work), if !work.is_zero() => Step::End,
+            () = std::future::ready(()), if work.is_zero() => Step::End,
+        };
+        self.cancels.borrow_mut().remove(&id);
+        run.line.step = ended;
+        if ended == Step::Cancelled {
+            return problem::text(CANCELLED, "cancelled\n".to_owned());
         }
-        run.ended = true;
         answer(&run.line.request, &body, size, begun.elapsed())
     }
 
+    /// A target without a whole ledger can judge nothing, so it ends.
+    fn note(&self, line: &Line) {
+        if let Err(err) = self.ledger.borrow_mut().write(line) {
+            eprintln!("could not write the ledger: {err}");
+            std::process::exit(1);
+        }
+    }
+
     fn begin(&self, line: Line) -> Run<'_> {
         *self.running.borrow_mut() += 1;
-        self.ledger.borrow_mut().write(&line);
-        Run {
-            target: self,
-            line,
-            ended: false,
-        }
+        self.note(&line);
+        Run { target: self, line }
     }
 
     fn refuse(&self, mut line: Line) -> Answer {
         line.step = Step::Shed;
-        self.ledger.borrow_mut().write(&line);
+        self.note(&line);
         let mut answer = problem::text(StatusCode::SERVICE_UNAVAILABLE, "shed\n".to_owned());
         let value = HeaderValue::from_static("true");
         answer.headers_mut().insert("target-shed", value);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,7 @@
 //! Listener with bounds on connections, headers and time.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,12 +15,15 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::{task, time};
 
 /// Pause after a failed accept, which is mostly a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const HEAD_TOO_SLOW: &str =
+    r#"{"status":408,"detail":"the head did not arrive in time","outcome":"not-run"}"#;
 
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -40,7 +44,7 @@
             connections: 1024,
             head_bytes: 16 << 10,
             headers: 64,
-            head_timeout: Duration::from_secs(10),
+            head_timeout: Duration::from_secs(5),
         }
     }
 }
@@ -105,23 +109,48 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |req| {
         let answer = handler(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+        Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(bounds.head_timeout)
         .max_buf_size(bounds.head_bytes)
         .max_headers(bounds.headers)
         .serve_connection(TokioIo::new(stream), service);
-    let mut serving = std::pin::pin!(serving);
-    let result = tokio::select! {
-        result = serving.as_mut() => result,
-        _ = stop.wait_for(|stop| *stop) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let mut stopping = false;
+    let result = loop {
+        tokio::select! {
+            result = poll_fn(|cx| serving.poll_without_shutdown(cx)) => break result,
+            _ = stop.wait_for(|stop| *stop), if !stopping => {
+                Pin::new(&mut serving).graceful_shutdown();
+                stopping = true;
+            }
         }
     };
+    close(serving.into_parts().io.into_inner(), result).await;
+}
+
+/// Closes a connection; the library says nothing to a caller whose head did
+/// not arrive in time.
+async fn close(mut stream: TcpStream, result: hyper::Result<()>) {
     if let Err(err) = result {
         debug!("connection ended: {err}");
+        if err.is_timeout() {
+            // The caller may have left.
+            let _ = stream.write_all(head_too_slow().as_bytes()).await;
+        }
     }
+    // The caller may have closed its end first.
+    let _ = stream.shutdown().await;
+}
+
+fn head_too_slow() -> String {
+    format!(
+        "HTTP/1.1 408 Request Timeout\r\n\
+         content-type: application/problem+json\r\n\
+         pollenrouter-outcome: not-run\r\n\
+         content-length: {}\r\n\
+         connection: close\r\n\r\n{HEAD_TOO_SLOW}",
+        HEAD_TOO_SLOW.len()
+    )
 }
--- /dev/null
+++ b/crates/operator/tests/findings.rs
@@ -0,0 +1,116 @@
+//! Settings and documents with mistakes: every mistake is named with its place.
+
+use pollenrouter_operator::{document, settings};
+use rstest::rstest;
+
+struct Case {
+    text: &'static str,
+    findings: &'static [&'static str],
+}
+
+const SETTINGS: Case = Case {
+    text: "host: Graz Nord
+platform: ftp://10.0.0.1
+listen:
+  public: 127.0.0.1
+  internal: 127.0.0.1:1
+  target: 127.0.0.1:2
+  operator: 127.0.0.1:3
+  daemons: 127.0.0.1:4
+  surplus: 1
+keys:
+  authority: a
+  certificate: b
+  key: c
+",
+    findings: &[
+        "1:1: field `failure_domain` is missing",
+        "1:7: field `host` is `Graz Nord`, which is not a name of 1 to 63 lower-case letters, digits and hyphens",
+        "2:11: field `platform` does not begin with `http://`",
+        "4:11: field `listen.public` is `127.0.0.1`: invalid socket address syntax",
+        "9:3: field `listen.surplus` is unknown",
+    ],
+};
+
+const WRONG_TYPES: Case = Case {
+    text: "service: seats
+routes:
+  - name: list
+    method: FETCH
+    path: list
+    repeatable: perhaps
+    owed_ms: 0
+  - name: list
+    method: GET
+    path: /list
+    repeatable: true
+    owed_ms: 100
+    size: huge
+measuring: 7
+",
+    findings: &[
+        "4:13: field `routes[0].method` is `FETCH` where one of GET, HEAD, POST, PUT, PATCH, DELETE is expected",
+        "5:11: field `routes[0].path` does not begin with `/`",
+        "6:17: field `routes[0].repeatable` is neither `true` nor `false`",
+        "7:14: field `routes[0].owed_ms` is not a whole number from 1 to 600000",
+        "13:11: field `routes[1].size` is `huge` where one of learned, short, long is expected",
+        "14:12: measuring is not a mapping of fields",
+    ],
+};
+
+const TWICE: Case = Case {
+    text: r#"{"service": "seats", "routes": [
+  {"name": "a", "method": "GET", "path": "/a", "repeatable": true, "owed_ms": 1},
+  {"name": "a", "method": "GET", "path": "/b", "repeatable": true, "owed_ms": 1}],
+ "measuring": {"probes_per_minute": 1, "targets_max": 0}}"#,
+    findings: &[
+        "1:32: field `routes` names route `a` twice",
+        "4:55: field `measuring.targets_max` is not a whole number from 1 to 10000",
+    ],
+};
+
+const NOT_YAML: Case = Case {
+    text: "service: [unclosed",
+    findings: &["2:1: while parsing a flow sequence, expected ',' or ']'"],
+};
+
+const EMPTY: Case = Case {
+    text: "",
+    findings: &["1:1: text holds 0 documents where 1 is expected"],
+};
+
+fn texts<T>(result: Result<T, Vec<pollenrouter_operator::finding::Finding>>) -> Vec<String> {
+    let findings = result.err().unwrap_or_default();
+    findings.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn settings_with_five_mistakes_name_all_five() {
+    assert_eq!(texts(settings::check(SETTINGS.text)), SETTINGS.findings);
+}
+
+#[rstest]
+#[case(WRONG_TYPES)]
+#[case(TWICE)]
+#[case(NOT_YAML)]
+#[case(EMPTY)]
+fn documents_with_mistakes_name_each(#[case] case: Case) {
+    assert_eq!(texts(document::check(case.text)), case.findings);
+}
+
+#[rstest]
+#[case(include_str!("../../../examples/wartebank/board.yaml"))]
+#[case(include_str!("../../../examples/wartebank/assignment.yaml"))]
+#[case(include_str!("../../../examples/wartebank/seats.yaml"))]
+#[case(include_str!("../../../examples/midlands/catalogue.yaml"))]
+#[case(include_str!("../../../examples/midlands/agreements.yaml"))]
+#[case(include_str!("../../../examples/midlands/bookings.yaml"))]
+fn examples_have_no_findings(#[case] text: &str) {
+    assert_eq!(texts(document::check(text)), Vec::<String>::new());
+}
+
+#[test]
+fn example_settings_have_no_findings() {
+    let text = include_str!("../../../examples/settings.yaml");
+    assert_eq!(texts(settings::check(text)), Vec::<String>::new());
+}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -69,7 +69,7 @@
 /// A call with the route that it matched.
 pub struct Routed {
     /// The call.
-    pub call: Call,
+    pub call: Box<Call>,
     /// Its route.
     pub route: service::Route,
     /// Second attempts per hundred calls.
@@ -88,7 +88,7 @@
             host,
             origin: Instant::now(),
             entry: entry::Entry::new(incarnation),
-            gate: gate::Gate::new(incarnation, gate::RECORDS_MAX, gate::Safeguards::ALL),
+            gate: gate::Gate::new(incarnation, gate::RECORDS_MAX),
             steps: VecDeque::new(),
             callers: HashMap::new(),
             held: HashMap::new(),
@@ -135,7 +135,7 @@
     }
 
     /// Tells a caller at once that its call was refused.
-    pub fn refuse(&self, call: Call, refusal: Refusal) {
+    pub fn refuse(&self, call: Box<Call>, refusal: Refusal) {
         let text = refusal.to_string();
         self.instruments
             .ended(&call.service, "not-run", &text, Duration::ZERO);
@@ -154,6 +154,7 @@
             route,
             retry_percent,
         } = routed;
+        let call = *call;
         let begun = self.now();
         let request = entry::Request {
             token: call.token,
@@ -287,7 +288,7 @@
                 }
                 Step::Gate(input) => {
                     for output in self.gate.step(now, input) {
-                        self.gate_output(now, output);
+                        self.gate_output(now, &output);
                     }
                 }
             }
@@ -391,8 +392,8 @@
         self.waiters.entry(id).or_default().push(waiter);
     }
 
-    fn gate_output(&mut self, now: Duration, output: gate::Output) {
-        match output {
+    fn gate_output(&mut self, now: Duration, output: &gate::Output) {
+        match *output {
             gate::Output::Start { id, deadline } => self.start(id, deadline),
             gate::Output::Cancel(id) => {
                 // A call that is not cancelled only runs to its end.
--- a/crates/router/src/cmd/run.rs
+++ b/crates/router/src/cmd/run.rs
@@ -14,5 +14,5 @@
     let settings = settings::check(&text)
         .map_err(|findings| Error::Findings(check::print(&args.settings, &findings)))?;
     logging::init(settings.log);
-    threads::run(settings)
+    threads::run(&settings)
 }
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -14,7 +14,10 @@
 ///
 /// # Errors
 /// The call, with the reason why it is refused.
-pub fn route(documents: &documents::Documents, call: Call) -> Result<Routed, (Call, Refusal)> {
+pub fn route(
+    documents: &documents::Documents,
+    call: Box<Call>,
+) -> Result<Routed, (Box<Call>, Refusal)> {
     let Some((_, document)) = documents.get(&call.service) else {
         return Err((call, Refusal::NoDocument));
     };
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -57,7 +57,7 @@
 }
 
 /// Runs a daemon until a planned stop is done.
-pub fn run(settings: settings::Settings) -> Result<(), Error> {
+pub fn run(settings: &settings::Settings) -> Result<(), Error> {
     let transport = tls::transport(&keys::Keys {
         authority: settings.keys.authority.to_string(),
         certificate: settings.keys.certificate.to_string(),
@@ -73,7 +73,7 @@
     let watching = Arc::new(AtomicBool::new(false));
     let (instruments, metrics) = instruments::start()?;
 
-    let own = member(&settings, incarnation, sockets.daemons.local_addr()?);
+    let own = member(settings, incarnation, sockets.daemons.local_addr()?);
     log_start(&own, &sockets)?;
     let client = Client::new(&settings.platform);
     registry::start_writer(
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -92,23 +92,22 @@
         let client = self.client.borrow().clone();
         let client = client.ok_or(gate::Outcome::NotStarted(Refusal::NoTarget))?;
         // The last check before the write: a paused daemon may resume here.
-        let left = run.deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
+        let remaining = run.deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
             return Err(gate::Outcome::NotStarted(Refusal::Late));
         }
-        let request = request(client.address(), &run, left)?;
-        let sending = client.send(request);
-        let sent = time::timeout(left + AFTER_DEADLINE, sending).await;
+        let request = request(client.address(), &run, remaining)?;
+        let patience = remaining + AFTER_DEADLINE;
+        let sent = time::timeout(patience, client.send(request)).await;
         let (response, lent) = match sent {
-            Err(_) => return Err(gate::Outcome::Lost),
+            Ok(Ok(sent)) => sent,
             Ok(Err(client::ClientError::Connect(..))) => {
                 return Err(gate::Outcome::NotStarted(Refusal::Unreachable));
             }
-            Ok(Err(client::ClientError::Broken(_))) => return Err(gate::Outcome::Lost),
-            Ok(Ok(sent)) => sent,
+            Err(_) | Ok(Err(client::ClientError::Broken(_))) => return Err(gate::Outcome::Lost),
         };
         let (parts, body) = response.into_parts();
-        let body = body::read(body, run.answer_bytes, left + AFTER_DEADLINE)
+        let body = body::read(body, run.answer_bytes, patience)
             .await
             .map_err(|_| gate::Outcome::Lost)?;
         lent.give_back();
@@ -152,7 +151,7 @@
 fn request(
     address: net::SocketAddr,
     run: &Run,
-    left: Duration,
+    remaining: Duration,
 ) -> Result<Request<Full<Bytes>>, gate::Outcome> {
     let built = Request::builder()
         .method(run.head.method.as_str())
@@ -163,7 +162,7 @@
     let headers = request.headers_mut();
     head::add(headers, &run.head.headers);
     set(headers, CALL, &call_text(run.id));
-    set(headers, DEADLINE, &left.as_millis().to_string());
+    set(headers, DEADLINE, &remaining.as_millis().to_string());
     set(headers, DEPTH, &run.depth.to_string());
     Ok(request)
 }
