--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -11,7 +11,7 @@
 pub const MAX_DEPTH: u8 = 7;
 
 /// A call that an entry asks a gate to run.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Offer {
     /// Incarnation of the gate that may run it.
     pub incarnation: id::Incarnation,
@@ -32,7 +32,7 @@
 }
 
 /// Asks a gate to reply for a call that it may know, or to void its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Query {
     /// Incarnation of the gate that the call was offered to.
     pub incarnation: id::Incarnation,
@@ -44,7 +44,7 @@
 
 quick_error! {
     /// Why a call was not run, and never will be under its id.
-    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
     pub enum Refusal {
         /// No document for the service is in force here.
         NoDocument { display("no document of this service is in force") }
@@ -68,8 +68,6 @@
         Void { display("the ticket is void") }
         /// The caller left before the call began.
         Cancelled { display("the call was withdrawn before it began") }
-        /// The gate that the call was sent to no longer exists.
-        WrongIncarnation { display("the gate restarted before the call reached it") }
         /// The ticket belongs to another service.
         WrongService { display("the ticket belongs to another service") }
         /// The ticket was already used with a different request.
@@ -81,7 +79,7 @@
 
 quick_error! {
     /// Why nobody can say whether a call ran.
-    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
     pub enum Doubt {
         /// The incarnation that may have run the call is gone.
         GateGone { display("the gate that may have run the call is gone") }
@@ -99,7 +97,7 @@
 }
 
 /// A gate's final word on an id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Reply {
     /// The call ran; the answer goes with this reply.
     Answer,
--- a/crates/core/src/documents.rs
+++ b/crates/core/src/documents.rs
@@ -1,8 +1,10 @@
 //! Which version of each service document is in force here.
 //!
-//! A version only goes up. Before the first read of the platform nothing comes
-//! into force, because a daemon without a disk can not know which version its
-//! host had in force before a restart; what it hears by then is held back.
+//! A version only goes up. A daemon without a disk can not know which version
+//! its host had in force before a restart, and a read of the platform may be
+//! stale. So nothing comes into force before a read whose revision is at least
+//! that of the daemon's own registration: a conditional write, which can not be
+//! stale. What is heard before that is held back.
 
 use std::collections::BTreeMap;
 
@@ -38,6 +40,7 @@
 /// Documents in force and rejected at one daemon.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Documents {
+    registered_at: Option<id::Version>,
     confirmed: bool,
     in_force: BTreeMap<id::ServiceName, (id::Version, service::Service)>,
     rejected: BTreeMap<id::ServiceName, (id::Version, Vec<String>)>,
@@ -62,8 +65,20 @@
         }
     }
 
-    /// Tells that the platform was read in full; puts in force what was held.
-    pub fn confirm(&mut self) -> Vec<Change> {
+    /// Tells the version of this daemon's first registration.
+    pub fn registered(&mut self, version: id::Version) {
+        self.registered_at.get_or_insert(version);
+    }
+
+    /// Tells that the platform was read in full as of a revision, and that all
+    /// of it was learned; puts in force what was held, if the read is fresh.
+    pub fn listed(&mut self, revision: id::Version) -> Vec<Change> {
+        let is_fresh = self
+            .registered_at
+            .is_some_and(|version| version <= revision);
+        if !is_fresh {
+            return Vec::new();
+        }
         self.confirmed = true;
         std::mem::take(&mut self.held)
             .into_iter()
@@ -71,7 +86,7 @@
             .collect()
     }
 
-    /// Whether the platform was read since the start.
+    /// Whether documents can come into force.
     #[must_use]
     pub fn is_confirmed(&self) -> bool {
         self.confirmed
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -93,7 +93,7 @@
 }
 
 /// What became of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Verdict {
     /// The answer that came with the reply for this id.
     Answer(id::CallId),
@@ -387,14 +387,11 @@
     }
 
     fn not_run(&mut self, now: Duration, token: Token, refusal: Refusal, out: &mut Vec<Output>) {
-        let gone = refusal == Refusal::WrongIncarnation;
         let bound = self
             .pending
             .get(&token)
             .is_some_and(|p| p.request.ticket.is_some());
-        if bound && gone {
-            self.finish(token, Verdict::Unknown(Doubt::GateGone), out);
-        } else if !bound && self.may_retry(now, token) {
+        if !bound && self.may_retry(now, token) {
             self.attempt(now, token, refusal, out);
         } else {
             self.conclude(token, Err(refusal), out);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -213,7 +213,8 @@
     fn offer(&mut self, now: Duration, offer: &call::Offer, out: &mut Vec<Output>) {
         let id = offer.id;
         if offer.incarnation != self.incarnation {
-            out.push(reply_not_run(id, Refusal::WrongIncarnation));
+            // An earlier incarnation may have run a copy of it.
+            out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
             return;
         }
         match self.records.known(id) {
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -51,6 +51,12 @@
             source(err)
             display("could not authenticate: {err}")
         }
+        /// The other end did not say which incarnation it is.
+        Greeting(err: FrameError) {
+            from()
+            source(err)
+            display("could not read the greeting: {err}")
+        }
         /// The handshake took too long.
         Timeout(address: net::SocketAddr) {
             display("no reply from {address} within {} ms", CONNECT_TIMEOUT.as_millis())
@@ -58,9 +64,16 @@
     }
 }
 
+/// A connection whose other end has said which incarnation it is.
+#[derive(Clone)]
+struct Greeted {
+    connection: quinn::Connection,
+    incarnation: id::Incarnation,
+}
+
 #[derive(Default)]
 struct Link {
-    connection: Option<quinn::Connection>,
+    connection: Option<Greeted>,
     failed_at: Option<time::Instant>,
 }
 
@@ -113,6 +126,14 @@
 
     async fn offer(&self, peer: Peer, offer: call::Offer, request: Request) {
         let id = offer.id;
+        let reached = self
+            .connection(&peer)
+            .await
+            .map(|greeted| greeted.incarnation);
+        if reached.is_ok_and(|incarnation| incarnation != offer.incarnation) {
+            (self.sink)(Event::Lost(peer.host, id, Sent::Nothing));
+            return;
+        }
         let ask = Ask::Offer {
             offer,
             head: request.head,
@@ -136,10 +157,11 @@
     }
 
     async fn exchange(&self, peer: &Peer, ask: &Ask, body: &Bytes) -> Result<Replied, Sent> {
-        let connection = self.connection(peer).await.map_err(|err| {
+        let greeted = self.connection(peer).await.map_err(|err| {
             log::debug!(host:% = peer.host; "could not connect: {err}");
             Sent::Nothing
         })?;
+        let connection = greeted.connection;
         let (mut tx, mut rx) = connection.open_bi().await.map_err(|_| Sent::Nothing)?;
         let exchange = async {
             frame::write(&mut tx, ask, body).await?;
@@ -158,7 +180,7 @@
     }
 
     async fn tell(&self, peer: &Peer, tell: &impl Serialize) -> Result<(), ()> {
-        let connection = self.connection(peer).await.map_err(drop)?;
+        let connection = self.connection(peer).await.map_err(drop)?.connection;
         let mut tx = connection.open_uni().await.map_err(drop)?;
         frame::write(&mut tx, tell, &Bytes::new())
             .await
@@ -177,7 +199,7 @@
         connection.close(CLOSED_SILENT.into(), b"silent");
         let slot = self.slot(peer);
         let mut held = slot.lock().await;
-        let same = |c: &quinn::Connection| c.stable_id() == connection.stable_id();
+        let same = |c: &Greeted| c.connection.stable_id() == connection.stable_id();
         if held.connection.as_ref().is_some_and(same) {
             held.connection = None;
         }
@@ -191,11 +213,11 @@
             .clone()
     }
 
-    async fn connection(&self, peer: &Peer) -> Result<quinn::Connection, ConnectError> {
+    async fn connection(&self, peer: &Peer) -> Result<Greeted, ConnectError> {
         let asked_at = time::Instant::now();
         let slot = self.slot(peer);
         let mut link = slot.lock().await;
-        let open = |c: &&quinn::Connection| c.close_reason().is_none();
+        let open = |c: &&Greeted| c.connection.close_reason().is_none();
         if let Some(connection) = link.connection.as_ref().filter(open) {
             return Ok(connection.clone());
         }
@@ -209,17 +231,26 @@
         connected
     }
 
-    async fn connect(&self, address: net::SocketAddr) -> Result<quinn::Connection, ConnectError> {
+    async fn connect(&self, address: net::SocketAddr) -> Result<Greeted, ConnectError> {
         let mut endpoint = quinn::Endpoint::client((self.local, 0).into())?;
         endpoint.set_default_client_config(self.config.clone());
         let connecting = endpoint.connect(address, tls::SERVER_NAME)?;
-        let connection = time::timeout(CONNECT_TIMEOUT, connecting)
+        time::timeout(CONNECT_TIMEOUT, greeted(connecting))
             .await
-            .map_err(|_| ConnectError::Timeout(address))??;
-        Ok(connection)
+            .map_err(|_| ConnectError::Timeout(address))?
     }
 }
 
+async fn greeted(connecting: quinn::Connecting) -> Result<Greeted, ConnectError> {
+    let connection = connecting.await?;
+    let mut rx = connection.accept_uni().await?;
+    let incarnation = frame::read_head(&mut rx).await?;
+    Ok(Greeted {
+        connection,
+        incarnation,
+    })
+}
+
 async fn read_reply(rx: &mut quinn::RecvStream) -> Result<Replied, FrameError> {
     let head: ReplyHead = frame::read_head(rx).await?;
     let body = frame::read_body(rx, head.body_bytes).await?;
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -141,6 +141,7 @@
     Ok(body.into())
 }
 
-fn read_error(err: impl std::fmt::Display) -> FrameError {
+/// A failure of the connection while reading.
+pub fn read_error(err: impl std::fmt::Display) -> FrameError {
     FrameError::Read(err.to_string())
 }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pollenrouter_core::id;
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
@@ -26,6 +27,7 @@
 /// The address can not be bound.
 pub async fn run(
     socket: net::UdpSocket,
+    own: id::Incarnation,
     transport: tls::Transport,
     mut commands: mpsc::Receiver<Command>,
     sink: Sink,
@@ -35,7 +37,12 @@
     let config = quinn::EndpointConfig::default();
     let endpoint = quinn::Endpoint::new(config, Some(transport.server), socket, runtime)?;
     let open = server::Open::default();
-    task::spawn_local(server::accept(endpoint.clone(), sink.clone(), open.clone()));
+    task::spawn_local(server::accept(
+        endpoint.clone(),
+        own,
+        sink.clone(),
+        open.clone(),
+    ));
     let client = client::Client::new(transport.client, local, sink);
     while let Some(command) = commands.recv().await {
         client.run(command);
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use log::{debug, warn};
+use pollenrouter_core::id;
 use tokio::sync::oneshot;
 use tokio::task;
 
@@ -16,21 +17,25 @@
 pub type Open = Rc<Cell<usize>>;
 
 /// Accepts connections until the endpoint closes.
-pub async fn accept(endpoint: quinn::Endpoint, sink: peer::Sink, open: Open) {
+pub async fn accept(endpoint: quinn::Endpoint, own: id::Incarnation, sink: peer::Sink, open: Open) {
     while let Some(incoming) = endpoint.accept().await {
         let sink = sink.clone();
         let open = open.clone();
         task::spawn_local(async move {
             let from = incoming.remote_address();
             match incoming.await {
-                Ok(connection) => serve(connection, sink, open).await,
+                Ok(connection) => serve(connection, own, sink, open).await,
                 Err(err) => warn!(from:%; "could not authenticate a daemon: {err}"),
             }
         });
     }
 }
 
-async fn serve(connection: quinn::Connection, sink: peer::Sink, open: Open) {
+async fn serve(connection: quinn::Connection, own: id::Incarnation, sink: peer::Sink, open: Open) {
+    if let Err(err) = greet(&connection, own).await {
+        debug!("could not greet a daemon: {err}");
+        return;
+    }
     loop {
         tokio::select! {
             stream = connection.accept_bi() => match stream {
@@ -45,6 +50,12 @@
     }
 }
 
+/// Tells the other end which incarnation it has reached.
+async fn greet(connection: &quinn::Connection, own: id::Incarnation) -> Result<(), FrameError> {
+    let mut tx = connection.open_uni().await.map_err(frame::read_error)?;
+    frame::write(&mut tx, &own, &Bytes::new()).await
+}
+
 fn spawn(work: impl Future<Output = Result<(), FrameError>> + 'static, open: Open) {
     task::spawn_local(async move {
         open.set(open.get() + 1);
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,6 +1,7 @@
 //! Events of the router, and the bounded ring that carries them.
 
 use pollenrouter_core::replica;
+use pollenrouter_platform::client::Listing;
 use tokio::sync::{mpsc, oneshot};
 
 /// Events that may wait for the router.
@@ -16,7 +17,7 @@
     /// From the target.
     Target(pollenrouter_target::message::Event),
     /// The platform was read in full.
-    Listed(Vec<replica::Object>),
+    Listed(Listing),
     /// A watch or a write brought objects.
     Read(Vec<replica::Object>),
     /// An operator asks for the status.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -10,6 +10,7 @@
 use pollenrouter_core::{documents, entry, id, replica, service};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
+use pollenrouter_platform::client::Listing;
 use pollenrouter_platform::object::{self, Member, MemberState};
 
 use crate::registry::Write;
@@ -34,6 +35,8 @@
     pub limits: BodyLimits,
     /// Whether this daemon watches the platform.
     pub watching: Arc<AtomicBool>,
+    /// Whether a fresh read of the platform was taken in.
+    pub confirmed: Arc<AtomicBool>,
     /// Writes to the platform.
     pub writes: mpsc::SyncSender<Write>,
 }
@@ -49,16 +52,18 @@
 }
 
 impl Fleet {
-    /// A fleet of which nothing is known but `own`.
+    /// A fleet of which nothing is known but `own`, which registers.
     pub fn new(own: Member, shared: Shared) -> Self {
-        Self {
+        let fleet = Self {
             membership: Membership::new(membership_member(&own)),
             documents: documents::Documents::default(),
             members: BTreeMap::new(),
             heard_from: BTreeMap::new(),
             own,
             shared,
-        }
+        };
+        fleet.register();
+        fleet
     }
 
     /// Documents in force and rejected.
@@ -107,11 +112,14 @@
     }
 
     /// The platform was read in full.
-    pub fn listed(&mut self, objects: Vec<replica::Object>) -> Vec<Effect> {
-        let mut effects = self.step(membership::Input::Read(objects, rand::random()));
-        for change in self.documents.confirm() {
+    pub fn listed(&mut self, listing: Listing) -> Vec<Effect> {
+        let input = membership::Input::Read(listing.objects, rand::random());
+        let mut effects = self.step(input);
+        for change in self.documents.listed(listing.revision) {
             self.document_changed(change, &mut effects);
         }
+        let confirmed = self.documents.is_confirmed();
+        self.shared.confirmed.store(confirmed, Ordering::Relaxed);
         effects
     }
 
@@ -182,13 +190,16 @@
         }
         match serde_json::from_str::<Member>(&object.value) {
             Err(err) => warn!(key:% = object.key; "could not read a member: {err}"),
-            Ok(member) => self.member_changed(member),
+            Ok(member) => self.member_changed(member, object.version),
         }
         true
     }
 
-    fn member_changed(&mut self, member: Member) {
+    fn member_changed(&mut self, member: Member, version: id::Version) {
         let own_life = member.host == self.own.host && member.incarnation == self.own.incarnation;
+        if own_life {
+            self.documents.registered(version);
+        }
         if own_life && member.state == MemberState::Left && self.own.state != MemberState::Left {
             warn!("another daemon reported this one as gone, registering again");
             self.register();
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -21,6 +21,8 @@
 const RETRY_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// A daemon that does not watch reads everything this often.
 const READ_INTERVAL: Duration = Duration::from_mins(5);
+/// Pause between reads until one is as new as this daemon's registration.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(100);
 const DUTY_CHECK: Duration = Duration::from_secs(1);
 
 /// Writes to the platform.
@@ -48,10 +50,15 @@
 pub fn start_reader(
     client: Client,
     watching: Arc<AtomicBool>,
+    confirmed: Arc<AtomicBool>,
     tx: event::Sender,
 ) -> Result<(), Error> {
     let work = move || {
         let mut revision = list(&client, &tx);
+        while !confirmed.load(Ordering::Relaxed) {
+            thread::sleep(CONFIRM_PAUSE);
+            revision = list(&client, &tx);
+        }
         loop {
             if watching.load(Ordering::Relaxed) {
                 revision = watch(&client, &tx, revision);
@@ -69,8 +76,9 @@
 /// Reads everything, however long it takes.
 fn list(client: &Client, tx: &event::Sender) -> id::Version {
     let listing = retry("read the platform", || client.list(""));
-    event::deliver(tx, Event::Listed(listing.objects));
-    listing.revision
+    let revision = listing.revision;
+    event::deliver(tx, Event::Listed(listing));
+    revision
 }
 
 fn watch(client: &Client, tx: &event::Sender, revision: id::Version) -> id::Version {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -70,8 +70,8 @@
             Event::Caller(event) => self.caller(event),
             Event::Daemon(event) => self.daemon(event),
             Event::Target(event) => self.target(event),
-            Event::Listed(objects) => {
-                let effects = self.fleet.listed(objects);
+            Event::Listed(listing) => {
+                let effects = self.fleet.listed(listing);
                 self.apply(effects);
             }
             Event::Read(objects) => {
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -47,6 +47,7 @@
 struct Work {
     sockets: Sockets,
     transport: tls::Transport,
+    incarnation: id::Incarnation,
     commands: ring::Receiver<daemon::Command>,
     target_commands: ring::Receiver<target::Command>,
     limits: BodyLimits,
@@ -71,6 +72,7 @@
     let incarnation: id::Incarnation = rand::random();
     let limits = BodyLimits::default();
     let watching = Arc::new(AtomicBool::new(false));
+    let confirmed = Arc::new(AtomicBool::new(false));
     let (instruments, metrics) = instruments::start()?;
 
     let own = member(settings, incarnation, sockets.daemons.local_addr()?);
@@ -82,11 +84,12 @@
         write_commands,
         tx.clone(),
     )?;
-    registry::start_reader(client, watching.clone(), tx.clone())?;
+    registry::start_reader(client, watching.clone(), confirmed.clone(), tx.clone())?;
 
     let shared = Shared {
         limits: limits.clone(),
         watching,
+        confirmed,
         writes,
     };
     let rings = Rings {
@@ -100,6 +103,7 @@
     let work = Work {
         sockets,
         transport,
+        incarnation,
         commands: daemon_commands,
         target_commands,
         limits,
@@ -168,6 +172,7 @@
     let Work {
         sockets,
         transport,
+        incarnation,
         commands,
         target_commands,
         limits,
@@ -179,7 +184,13 @@
     let (stop, stopping) = watch::channel(false);
     let events = tx.clone();
     let sink: peer::Sink = Arc::new(move |event| event::offer(&events, Event::Daemon(event)));
-    let peers = task::spawn_local(peer::run(sockets.daemons, transport, commands, sink));
+    let peers = task::spawn_local(peer::run(
+        sockets.daemons,
+        incarnation,
+        transport,
+        commands,
+        sink,
+    ));
     start_target(
         sockets.target,
         target_commands,
