--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -28,8 +28,19 @@
 
 /// Takes events; tells whether there was room.
 pub type Sink = Arc<dyn Fn(Event) -> bool + Send + Sync>;
-/// Largest request body of a service in bytes; `None` for an unknown service.
-pub type BodyLimit = Arc<dyn Fn(&str) -> Option<u64> + Send + Sync>;
+/// Bound on the request bodies of a service.
+pub type BodyLimits = Arc<dyn Fn(&str) -> BodyLimit + Send + Sync>;
+
+/// Bound on the request bodies of one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyLimit {
+    /// The largest body, bytes.
+    Bytes(u64),
+    /// No such service has a document.
+    NoService,
+    /// The daemon has not read the documents yet.
+    NotReady,
+}
 
 /// What a listener needs of its embedder.
 #[derive(Clone)]
@@ -37,7 +48,7 @@
     /// Where events go.
     pub sink: Sink,
     /// Bounds on bodies.
-    pub body_limit: BodyLimit,
+    pub body_limit: BodyLimits,
     /// Source of tokens, shared by all listeners of a daemon.
     pub tokens: Arc<AtomicU64>,
 }
@@ -72,9 +83,13 @@
         Ok(parsed) => parsed,
         Err(err) => return ending::malformed(&err),
     };
-    let Some(limit) = (cx.body_limit)(&parsed.service) else {
-        let detail = format!("service `{}` has no document in force here", parsed.service);
-        return problem::answer(StatusCode::NOT_FOUND, CallOutcome::NotRun, &detail);
+    let limit = match (cx.body_limit)(&parsed.service) {
+        BodyLimit::Bytes(limit) => limit,
+        BodyLimit::NoService => {
+            let detail = format!("service `{}` has no document in force here", parsed.service);
+            return problem::answer(StatusCode::NOT_FOUND, CallOutcome::NotRun, &detail);
+        }
+        BodyLimit::NotReady => return ending::refused(Refusal::NotReady),
     };
     match body::read(req.into_body(), limit, BODY_TIMEOUT).await {
         Ok(body) => call(cx, audience, parsed, body).await,
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -48,6 +48,8 @@
     pub enum Refusal {
         /// No document for the service is in force here.
         NoDocument { display("no document of this service is in force") }
+        /// The daemon has not read the documents since its start.
+        NotReady { display("the daemon has not read the documents yet") }
         /// The document has no such route.
         NoRoute { display("the service has no route for this method and path") }
         /// The route is for calls between services only.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hint;
 pub mod id;
 pub mod membership;
+pub mod pause;
 pub mod queue;
 pub mod records;
 pub mod replica;
--- a/crates/dev/src/caller.rs
+++ b/crates/dev/src/caller.rs
@@ -8,6 +8,7 @@
 use hyper::Request;
 use pollenrouter_http::{body, client, head, problem};
 use smol_str::SmolStr;
+use tokio::{runtime, task};
 
 use crate::ledger;
 use crate::target;
@@ -81,6 +82,18 @@
     }
 }
 
+/// Makes a call over a connection of its own and waits for its end.
+///
+/// # Panics
+/// No runtime can be had.
+#[must_use]
+pub fn call_once(entry: SocketAddr, made: &Call) -> Ended {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("runtime must start");
+    let client = client::Client::new(entry);
+    task::LocalSet::new().block_on(&runtime, call(&client, made))
+}
+
 type Exchanged = (Told, Option<SmolStr>, u16);
 
 async fn exchange(client: &client::Client, call: &Call) -> Result<Exchanged, client::ClientError> {
--- a/crates/dev/src/demo.rs
+++ b/crates/dev/src/demo.rs
@@ -92,6 +92,7 @@
         begun.elapsed().as_millis()
     );
     host.restart_daemon()?;
+    deployment.wait("documents", |status| status["documents_confirmed"] == true)?;
     list_entries(deployment, entries, None);
     Ok(())
 }
--- /dev/null
+++ b/crates/dev/tests/failures.rs
@@ -0,0 +1,259 @@
+//! Failures of real processes, judged by the targets' ledgers.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use pollenrouter_dev::caller::{self, Told};
+use pollenrouter_dev::deployment::Deployment;
+use pollenrouter_dev::platform;
+use rustix::process::Signal;
+use support::{call, document, plan, runs, status};
+
+const WORK: Duration = Duration::from_millis(600);
+
+/// Starts a call in the background and waits until its target runs it.
+fn under_way(
+    deployment: &Deployment,
+    entry: usize,
+    call: &caller::Call,
+) -> thread::JoinHandle<caller::Ended> {
+    let (address, call) = (deployment.hosts[entry].addresses.public, call.clone());
+    let request = call.request.clone();
+    let calling = thread::spawn(move || caller::call_once(address, &call));
+    support::until("the call runs", || runs(deployment, &request) > 0);
+    calling
+}
+
+/// The only target of `assignment` stands on host 1; host 0 is another entry.
+fn assign(deployment: &Deployment, request: &str) -> caller::Call {
+    let mut call = call("POST", "/assignment/assign", request);
+    call.work = Some(WORK);
+    call.deadline = Some(Duration::from_secs(4));
+    call.ticket = Some(support::ticket(deployment, 0, "assignment"));
+    call
+}
+
+#[test]
+fn a_killed_gate_leaves_a_call_unknown_and_it_never_runs_again() {
+    let mut deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let call = assign(&deployment, "r1");
+    let calling = under_way(&deployment, 0, &call);
+    let mut gate = deployment.hosts[1].daemon.take().expect("daemon must run");
+    gate.kill().expect("daemon must end");
+    let ended = calling.join().expect("caller must end");
+    assert!(matches!(ended.told, Told::Unknown(_)), "{ended:?}");
+
+    deployment.hosts[1]
+        .restart_daemon()
+        .expect("daemon must restart");
+    deployment
+        .wait_ready(2, 2)
+        .expect("deployment must be ready");
+    let again = caller::call_once(deployment.hosts[0].addresses.public, &call);
+    assert!(matches!(again.told, Told::Unknown(_)), "{again:?}");
+    assert_eq!(runs(&deployment, "r1"), 1);
+}
+
+#[test]
+fn a_killed_entry_loses_nothing_that_its_caller_can_not_ask_for_again() {
+    let mut deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let call = assign(&deployment, "r1");
+    let calling = under_way(&deployment, 0, &call);
+    let mut entry = deployment.hosts[0].daemon.take().expect("daemon must run");
+    entry.kill().expect("daemon must end");
+    let ended = calling.join().expect("caller must end");
+    assert!(matches!(ended.told, Told::Unknown(_)), "{ended:?}");
+
+    let again = caller::call_once(deployment.hosts[1].addresses.public, &call);
+    assert!(matches!(again.told, Told::Answered { .. }), "{again:?}");
+    assert_eq!(runs(&deployment, "r1"), 1);
+}
+
+#[test]
+fn a_frozen_gate_that_resumes_gives_the_answer_of_the_one_run() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let call = assign(&deployment, "r1");
+    let calling = under_way(&deployment, 0, &call);
+    let gate = deployment.hosts[1]
+        .daemon
+        .as_ref()
+        .expect("daemon must run");
+    gate.signal(Signal::STOP).expect("daemon must freeze");
+    // Longer than it takes to find the connection silent.
+    thread::sleep(Duration::from_secs(1));
+    gate.signal(Signal::CONT).expect("daemon must resume");
+    let ended = calling.join().expect("caller must end");
+    assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
+    assert_eq!(runs(&deployment, "r1"), 1);
+}
+
+#[test]
+fn a_gate_frozen_past_the_deadline_never_starts_what_waits() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let gate = deployment.hosts[1]
+        .daemon
+        .as_ref()
+        .expect("daemon must run");
+    let mut call = assign(&deployment, "r1");
+    call.deadline = Some(Duration::from_millis(500));
+    gate.signal(Signal::STOP).expect("daemon must freeze");
+    let ended = caller::call_once(deployment.hosts[0].addresses.public, &call);
+    gate.signal(Signal::CONT).expect("daemon must resume");
+    assert!(matches!(ended.told, Told::Unknown(_)), "{ended:?}");
+    // A later call that is answered shows that the gate works again.
+    let later = assign(&deployment, "r2");
+    support::until("the gate answers", || {
+        let ended = caller::call_once(deployment.hosts[0].addresses.public, &later);
+        matches!(ended.told, Told::Answered { .. })
+    });
+    assert_eq!(runs(&deployment, "r1"), 0);
+}
+
+#[test]
+fn a_frozen_target_that_resumes_runs_a_call_once() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let target = deployment.hosts[1]
+        .target
+        .as_ref()
+        .expect("target must run");
+    let call = assign(&deployment, "r1");
+    let calling = under_way(&deployment, 0, &call);
+    target.signal(Signal::STOP).expect("target must freeze");
+    let again = caller::call_once(deployment.hosts[1].addresses.public, &{
+        let mut again = call.clone();
+        again.deadline = Some(Duration::from_millis(300));
+        again
+    });
+    assert!(matches!(again.told, Told::Unknown(_)), "{again:?}");
+    target.signal(Signal::CONT).expect("target must resume");
+    let ended = calling.join().expect("caller must end");
+    assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
+    assert_eq!(runs(&deployment, "r1"), 1);
+}
+
+#[test]
+fn a_planned_stop_of_gate_or_entry_cuts_nothing_off() {
+    for stopped in [1, 0] {
+        let mut deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+        let call = assign(&deployment, "r1");
+        let calling = under_way(&deployment, 0, &call);
+        let daemon = deployment.hosts[stopped]
+            .daemon
+            .take()
+            .expect("daemon must run");
+        daemon.stop().expect("daemon must stop cleanly");
+        let ended = calling.join().expect("caller must end");
+        assert!(
+            matches!(ended.told, Told::Answered { .. }),
+            "{stopped}: {ended:?}"
+        );
+        assert_eq!(runs(&deployment, "r1"), 1);
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_only_what_may_be_cancelled() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let mut list = call("GET", "/board/refresh", "r1");
+    list.work = Some(Duration::from_mins(1));
+    support::begin_and_leave(deployment.hosts[0].addresses.public, &list);
+    support::until("the run is cancelled", || {
+        support::cancelled(&deployment, "r1")
+    });
+
+    let press = assign(&deployment, "r2");
+    support::begin_and_leave(deployment.hosts[0].addresses.public, &press);
+    support::until("the press runs", || runs(&deployment, "r2") == 1);
+    let again = caller::call_once(deployment.hosts[1].addresses.public, &press);
+    assert!(matches!(again.told, Told::Answered { .. }), "{again:?}");
+    assert_eq!(runs(&deployment, "r2"), 1);
+}
+
+#[test]
+fn without_the_platform_running_daemons_serve_and_a_fresh_one_refuses() {
+    let mut deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let down = platform::Faults {
+        down: true,
+        ..platform::Faults::default()
+    };
+    deployment
+        .platform_faults(down)
+        .expect("platform must reply");
+    let ended = caller::call_once(
+        deployment.hosts[0].addresses.public,
+        &call("GET", "/board/refresh", "r1"),
+    );
+    assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
+
+    let mut daemon = deployment.hosts[0].daemon.take().expect("daemon must run");
+    daemon.kill().expect("daemon must end");
+    deployment.hosts[0]
+        .restart_daemon()
+        .expect("daemon must restart");
+    let list = call("GET", "/board/refresh", "r2");
+    let ended = caller::call_once(deployment.hosts[0].addresses.public, &list);
+    let expected = Told::NotRun("the daemon has not read the documents yet".into());
+    assert_eq!((ended.told, ended.status), (expected, 503));
+
+    let up = platform::Faults::default();
+    deployment.platform_faults(up).expect("platform must reply");
+    deployment
+        .wait_ready(2, 2)
+        .expect("deployment must be ready");
+    let ended = caller::call_once(deployment.hosts[0].addresses.public, &list);
+    assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
+}
+
+#[test]
+fn racing_operators_get_one_winner_and_a_lost_answer_is_known_again() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let version = status(&deployment, 0)["documents"][1]["version"].as_u64();
+    let read_at = version.expect("document must be in force");
+    let file = document(&deployment, "board", 700);
+    let lose = platform::Faults {
+        lose_answers: 1,
+        ..platform::Faults::default()
+    };
+    deployment
+        .platform_faults(lose)
+        .expect("platform must reply");
+    let won = deployment
+        .apply(&file, read_at)
+        .expect("the lost answer must be known again");
+    assert!(won.contains("service `board` is at version"), "{won}");
+
+    let second = deployment.apply(&document(&deployment, "board", 800), read_at);
+    let text = second
+        .expect_err("the second operator must lose")
+        .to_string();
+    let named = format!("the change is based on version {read_at}");
+    assert!(
+        text.contains("is at version") && text.contains(&named),
+        "{text}"
+    );
+
+    let newer = |status: &serde_json::Value| {
+        status["documents"][1]["version"]
+            .as_u64()
+            .is_some_and(|version| version > read_at)
+    };
+    deployment
+        .wait("the new version", newer)
+        .expect("the new version must come into force");
+}
+
+#[test]
+fn a_document_that_is_rejected_leaves_the_one_before_in_force() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let before = status(&deployment, 0)["documents"].clone();
+    support::write_unchecked(&deployment, "board", "service: board\nroutes: []\n");
+    deployment
+        .wait("the rejection", |status| {
+            status["rejected"][0]["service"] == "board"
+        })
+        .expect("the rejection must be seen everywhere");
+    assert_eq!(status(&deployment, 0)["documents"], before);
+    assert_eq!(status(&deployment, 1)["documents"], before);
+}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -8,7 +8,7 @@
 use pollenrouter_caller::message::{Call, Ending, EndingKind};
 use pollenrouter_core::call::{self, Doubt, Refusal, Reply};
 use pollenrouter_core::entry::{self, Sent, Verdict};
-use pollenrouter_core::{exchange, gate, hint, id, service};
+use pollenrouter_core::{exchange, gate, hint, id, pause, service};
 use pollenrouter_daemon::message::{Answer, Command, Peer, Replied, ReplyTo, Request};
 use pollenrouter_target::message as target;
 use smol_str::SmolStr;
@@ -62,6 +62,7 @@
     arrived: Option<Answer>,
     peers: BTreeMap<id::HostName, Peer>,
     answer_bytes: u64,
+    pauses: pause::Pauses,
     rings: Rings,
     instruments: Instruments,
 }
@@ -98,6 +99,7 @@
             arrived: None,
             peers: BTreeMap::new(),
             answer_bytes: 0,
+            pauses: pause::Pauses::default(),
             rings,
             instruments,
         }
@@ -128,6 +130,12 @@
         self.callers.is_empty() && self.entry.is_idle() && self.gate.is_idle()
     }
 
+    /// Notes that the process runs.
+    pub fn note_running(&mut self) {
+        let now = self.now();
+        self.pauses.note(now);
+    }
+
     /// Issues a ticket.
     pub fn issue(&mut self, service: &str) -> Option<id::Ticket> {
         let now = self.now();
@@ -237,7 +245,9 @@
     }
 
     /// Another daemon offers a call.
-    pub fn offered(&mut self, offer: call::Offer, request: Request, reply_to: ReplyTo) {
+    pub fn offered(&mut self, mut offer: call::Offer, request: Request, reply_to: ReplyTo) {
+        let hidden = self.pauses.hidden_age(self.now());
+        offer.remaining = offer.remaining.saturating_sub(hidden);
         self.hold(&offer, request, Waiter::Daemon(reply_to));
         self.run(Step::Gate(gate::Input::Offer(offer)));
     }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -15,8 +15,17 @@
 
 use crate::registry::Write;
 
-/// Bounds on request bodies by service, shared with the listeners.
-pub type BodyLimits = Arc<RwLock<BTreeMap<id::ServiceName, u64>>>;
+/// What the listeners have to know of the documents in force.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Whether documents can come into force yet.
+    pub is_confirmed: bool,
+    /// Bounds on request bodies by service, bytes.
+    pub request_bytes: BTreeMap<id::ServiceName, u64>,
+}
+
+/// [`Known`], shared with the listeners.
+pub type SharedKnown = Arc<RwLock<Known>>;
 
 /// What the router has to do.
 #[derive(Debug)]
@@ -31,8 +40,8 @@
 
 /// What a fleet shares with other threads.
 pub struct Shared {
-    /// Bounds on request bodies.
-    pub limits: BodyLimits,
+    /// What the listeners have to know.
+    pub known: SharedKnown,
     /// Whether this daemon watches the platform.
     pub watching: Arc<AtomicBool>,
     /// Whether a fresh read of the platform was taken in.
@@ -120,6 +129,8 @@
         }
         let confirmed = self.documents.is_confirmed();
         self.shared.confirmed.store(confirmed, Ordering::Relaxed);
+        let known = self.shared.known.write();
+        known.unwrap_or_else(PoisonError::into_inner).is_confirmed = confirmed;
         effects
     }
 
@@ -232,9 +243,10 @@
     }
 
     fn limits_changed(&self, service: &service::Service) {
-        let limits = self.shared.limits.write();
-        let mut limits = limits.unwrap_or_else(PoisonError::into_inner);
-        limits.insert(service.name.clone(), service.limits.request_bytes);
+        let known = self.shared.known.write();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        let bytes = service.limits.request_bytes;
+        known.request_bytes.insert(service.name.clone(), bytes);
     }
 
     fn members_changed(&mut self, effects: &mut Vec<Effect>) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -66,6 +66,7 @@
     }
 
     fn take(&mut self, event: Event) {
+        self.calls.note_running();
         match event {
             Event::Caller(event) => self.caller(event),
             Event::Daemon(event) => self.daemon(event),
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -23,7 +23,7 @@
 use crate::calls::{Calls, Rings};
 use crate::error::Error;
 use crate::event::{self, Event};
-use crate::fleet::{BodyLimits, Fleet, Shared};
+use crate::fleet::{Fleet, Shared, SharedKnown};
 use crate::instruments;
 use crate::registry;
 use crate::router::Router;
@@ -50,7 +50,7 @@
     incarnation: id::Incarnation,
     commands: ring::Receiver<daemon::Command>,
     target_commands: ring::Receiver<target::Command>,
-    limits: BodyLimits,
+    known: SharedKnown,
     metrics: prometheus::Registry,
     router: Router,
     tx: event::Sender,
@@ -70,7 +70,7 @@
     let (to_target, target_commands) = ring::channel(RING);
     let (writes, write_commands) = mpsc::sync_channel(registry::RING);
     let incarnation: id::Incarnation = rand::random();
-    let limits = BodyLimits::default();
+    let known = SharedKnown::default();
     let watching = Arc::new(AtomicBool::new(false));
     let confirmed = Arc::new(AtomicBool::new(false));
     let (instruments, metrics) = instruments::start()?;
@@ -87,7 +87,7 @@
     registry::start_reader(client, watching.clone(), confirmed.clone(), tx.clone())?;
 
     let shared = Shared {
-        limits: limits.clone(),
+        known: known.clone(),
         watching,
         confirmed,
         writes,
@@ -106,7 +106,7 @@
         incarnation,
         commands: daemon_commands,
         target_commands,
-        limits,
+        known,
         metrics,
         router,
         tx: tx.clone(),
@@ -175,7 +175,7 @@
         incarnation,
         commands,
         target_commands,
-        limits,
+        known,
         metrics,
         router,
         tx,
@@ -198,7 +198,7 @@
         stopping.clone(),
     );
     start_operators(sockets.operator, metrics, tx.clone(), stopping.clone());
-    let cx = callers_context(limits, tx);
+    let cx = callers_context(known, tx);
     let everyone = service::Audience::Everyone;
     let internal = service::Audience::Internal;
     let public = callers::serve(sockets.public, everyone, cx.clone(), stopping.clone());
@@ -250,12 +250,16 @@
     task::spawn_local(operators::serve(listener, status, metrics, stopping));
 }
 
-fn callers_context(limits: BodyLimits, tx: event::Sender) -> callers::Context {
+fn callers_context(known: SharedKnown, tx: event::Sender) -> callers::Context {
     callers::Context {
         sink: Arc::new(move |event| event::offer(&tx, Event::Caller(event))),
         body_limit: Arc::new(move |service| {
-            let limits = limits.read().unwrap_or_else(PoisonError::into_inner);
-            limits.get(service).copied()
+            let known = known.read().unwrap_or_else(PoisonError::into_inner);
+            match known.request_bytes.get(service) {
+                Some(bytes) => callers::BodyLimit::Bytes(*bytes),
+                None if known.is_confirmed => callers::BodyLimit::NoService,
+                None => callers::BodyLimit::NotReady,
+            }
         }),
         tokens: Arc::new(AtomicU64::new(1)),
     }
