Budget shares by order of registration; lasting peers for gossip

Cause: a daemon's share of the probe budget went by rank of its name in a view that may lag, so two daemons could spend one share; and gossip with a peer drawn from the whole fleet needs a new connection, with a handshake, nearly each round. Ruled out: places claimed at the platform (one write more for each start). Mended: a daemon's place is the number of members registered before it, and its view holds all of those; peers stand at distances 1, 2, 4, ... around the ring.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod replica;
 pub mod ring;
 pub mod service;
+pub mod share;
 pub mod size;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,8 +1,8 @@
 //! Spread of the platform's objects between daemons, and the duties of a few.
 //!
-//! A few daemons of each failure domain watch the platform. News goes on to a
-//! few random peers at once; a digest to one random peer each round repairs
-//! what was lost. Each daemon checks its successor in its failure domain, and
+//! A few daemons of each failure domain watch the platform. Each daemon has a
+//! few lasting peers around the ring of all members: news goes on to some of
+//! them at once, and a digest to one of them each round repairs what was lost. Each daemon checks its successor in its failure domain, and
 //! reports one that stays unreachable.
 
 use std::collections::BTreeMap;
@@ -17,7 +17,8 @@
 /// Daemons of a failure domain that watch the platform.
 pub const WATCHERS: usize = 2;
 /// Peers that news goes on to.
-const FANOUT: u64 = 3;
+const FANOUT: u32 = 3;
+const BITS_PER_DRAW: u32 = 16;
 /// Rounds without contact after which a successor is reported.
 const MISSED_MAX: u32 = 5;
 
@@ -76,6 +77,8 @@
     replica: Replica,
     members: BTreeMap<id::HostName, Member>,
     missed: BTreeMap<id::HostName, u32>,
+    peers: Vec<id::HostName>,
+    successor: Option<id::HostName>,
 }
 
 impl Membership {
@@ -87,6 +90,8 @@
             replica: Replica::default(),
             members: BTreeMap::new(),
             missed: BTreeMap::new(),
+            peers: Vec::new(),
+            successor: None,
         }
     }
 
@@ -137,9 +142,8 @@
             objects: news,
         };
         for nth in 0..FANOUT {
-            if let Some(host) =
-                self.random_peer(draw.rotate_right(16 * u32::try_from(nth).unwrap_or(0)))
-            {
+            let draw = draw.rotate_right(BITS_PER_DRAW * nth);
+            if let Some(host) = self.random_peer(draw) {
                 out.push(Output::Send(host, message.clone()));
             }
         }
@@ -176,7 +180,7 @@
     }
 
     fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
-        let watched = self.successors().contains(host);
+        let watched = self.successor.as_ref() == Some(host);
         let Some(member) = self.members.get(host).filter(|_| watched) else {
             return;
         };
@@ -195,6 +199,10 @@
             .collect();
         let known = &self.members;
         self.missed.retain(|host, _| known.contains_key(host));
+        self.peers = ring::fingers(&self.own.host, self.members.keys());
+        self.successor = ring::fingers(&self.own.host, self.neighbors())
+            .into_iter()
+            .next();
     }
 
     fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
@@ -202,7 +210,7 @@
             digest: self.replica.digest(),
             ..Message::default()
         };
-        let mut to = self.successors();
+        let mut to: Vec<id::HostName> = self.successor.iter().cloned().collect();
         to.extend(self.random_peer(draw));
         to.dedup();
         out.extend(
@@ -211,17 +219,10 @@
         );
     }
 
-    fn successors(&self) -> Vec<id::HostName> {
-        ring::successors(&self.own.host, self.neighbors(), 1)
-    }
-
     fn random_peer(&self, draw: u64) -> Option<id::HostName> {
-        let peers: Vec<&id::HostName> = self
-            .members
-            .keys()
-            .filter(|host| **host != self.own.host)
-            .collect();
-        let n = u64::try_from(peers.len()).ok().filter(|n| *n > 0)?;
-        usize::try_from(draw % n).ok().map(|at| peers[at].clone())
+        let n = u64::try_from(self.peers.len()).ok().filter(|n| *n > 0)?;
+        usize::try_from(draw % n)
+            .ok()
+            .map(|at| self.peers[at].clone())
     }
 }
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -20,12 +20,12 @@
         < n
 }
 
-/// The `n` peers that follow `host` around the ring.
+/// The peers at distances 1, 2, 4, 8 and so on after `host` around the ring:
+/// few and lasting, yet every member is a few steps away.
 #[must_use]
-pub fn successors<'a>(
+pub fn fingers<'a>(
     host: &id::HostName,
     peers: impl Iterator<Item = &'a id::HostName>,
-    n: usize,
 ) -> Vec<id::HostName> {
     let own = (rank(host), host);
     let mut after: Vec<(bool, u64, &id::HostName)> = peers
@@ -33,10 +33,10 @@
         .map(|peer| ((rank(peer), peer) < own, rank(peer), peer))
         .collect();
     after.sort();
-    after
-        .into_iter()
-        .take(n)
-        .map(|(_, _, peer)| peer.clone())
+    let distances = (0..usize::BITS).map(|power| 1_usize << power);
+    distances
+        .map_while(|distance| after.get(distance - 1))
+        .map(|(_, _, peer)| (*peer).clone())
         .collect()
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use log::{info, warn};
 use pollenrouter_core::membership::{self, Membership};
-use pollenrouter_core::{documents, entry, id, replica, service};
+use pollenrouter_core::{documents, entry, id, replica, service, share};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
 use pollenrouter_platform::client::Listing;
@@ -56,6 +56,9 @@
     membership: Membership,
     documents: documents::Documents,
     members: BTreeMap<id::HostName, Member>,
+    versions: BTreeMap<id::HostName, id::Version>,
+    /// Version of this daemon's latest registration, once it took effect.
+    registered_at: Option<id::Version>,
     heard_from: BTreeMap<id::HostName, net::SocketAddr>,
     shared: Shared,
 }
@@ -63,10 +66,12 @@
 impl Fleet {
     /// A fleet of which nothing is known but `own`, which registers.
     pub fn new(own: Member, shared: Shared) -> Self {
-        let fleet = Self {
+        let mut fleet = Self {
             membership: Membership::new(membership_member(&own)),
             documents: documents::Documents::default(),
             members: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            registered_at: None,
             heard_from: BTreeMap::new(),
             own,
             shared,
@@ -90,13 +95,13 @@
         self.membership.is_watcher()
     }
 
-    /// Position of this daemon among the members of its service.
-    pub fn rank(&self) -> usize {
-        self.members
-            .values()
-            .filter(|m| m.state == MemberState::Serving && m.service == self.own.service)
-            .filter(|m| m.host < self.own.host)
-            .count()
+    /// Whether this daemon may spend a share of its service's budget.
+    pub fn may_spend(&self, shared_by: u32) -> bool {
+        let others = self.members.values().filter(|m| {
+            m.state != MemberState::Left && m.service == self.own.service && m.host != self.own.host
+        });
+        let versions = others.filter_map(|m| self.versions.get(&m.host).copied());
+        share::may_spend(share::place(self.registered_at, versions), shared_by)
     }
 
     /// Address of another daemon.
@@ -210,6 +215,8 @@
         let own_life = member.host == self.own.host && member.incarnation == self.own.incarnation;
         if own_life {
             self.documents.registered(version);
+            let is_latest = member.state == self.own.state && member.service == self.own.service;
+            self.registered_at = is_latest.then_some(version);
         }
         if own_life && member.state == MemberState::Left && self.own.state != MemberState::Left {
             warn!("another daemon reported this one as gone, registering again");
@@ -221,6 +228,7 @@
             incarnation = member.incarnation;
             "member changed"
         );
+        self.versions.insert(member.host.clone(), version);
         self.members.insert(member.host.clone(), member);
     }
 
@@ -261,7 +269,8 @@
         effects.push(Effect::Members(gates.collect()));
     }
 
-    fn register(&self) {
+    fn register(&mut self) {
+        self.registered_at = None;
         if self
             .shared
             .writes
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -185,7 +185,7 @@
             per_minute: document.measuring.probes_per_minute,
             shared_by: document.measuring.targets_max,
         };
-        let has_share = self.fleet.rank() < rate.shared_by as usize;
+        let has_share = self.fleet.may_spend(rate.shared_by);
         if has_share && self.probes.take(rate, self.calls.now()) {
             self.calls.instruments().probed();
             // A probe that a full ring turned away was not made.
