News carries no digest, reports wait longer, one socket for connections

Cause: 120 daemons on one machine fell into a storm: 1.3 MB/s each, 25 writes/s, 57 s until a change was in force, 126 MB each. Each piece of news carried a digest; while news spreads replicas differ, so each push brought the whole list of versions back. The load made daemons look unreachable; reports after 5 s wrote to the platform, which made more news. Ruled out: the platform stand-in (it kept up: 176 watches/s).

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -20,7 +20,7 @@
 const FANOUT: u32 = 3;
 const BITS_PER_DRAW: u32 = 16;
 /// Rounds without contact after which a successor is reported.
-const MISSED_MAX: u32 = 5;
+const MISSED_MAX: u32 = 30;
 
 /// Another daemon, or this one.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -36,8 +36,9 @@
 /// What is sent to a peer.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Message {
-    /// Digest of the sender's replica.
-    pub digest: Digest,
+    /// Digest of the sender's replica, where it is to be compared. News carries
+    /// none: while news spreads, replicas differ and comparing is in vain.
+    pub digest: Option<Digest>,
     /// The sender's versions, where it asks for newer objects.
     pub versions: Option<BTreeMap<Key, id::Version>>,
     /// Objects that may be news.
@@ -137,9 +138,8 @@
             return;
         }
         let message = Message {
-            digest: self.replica.digest(),
-            versions: None,
             objects: news,
+            ..Message::default()
         };
         for nth in 0..FANOUT {
             let draw = draw.rotate_right(BITS_PER_DRAW * nth);
@@ -153,9 +153,10 @@
         self.missed.remove(&host);
         self.merge(message.objects, draw, out);
         let digest = self.replica.digest();
-        if digest == message.digest {
+        if message.digest.is_none_or(|theirs| theirs == digest) {
             return;
         }
+        let digest = Some(digest);
         let reply = match message.versions {
             None => Message {
                 digest,
@@ -207,7 +208,7 @@
 
     fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
         let message = Message {
-            digest: self.replica.digest(),
+            digest: Some(self.replica.digest()),
             ..Message::default()
         };
         let mut to: Vec<id::HostName> = self.successor.iter().cloned().collect();
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -1,10 +1,12 @@
 //! Opens connections to other daemons and sends messages over them.
 //!
-//! Each connection has a socket of its own, so that a new connection does not
-//! share the address pair that a device between two hosts may have lost.
+//! Connections share one socket. After a connection to a daemon went silent, the
+//! next one to it has a socket of its own, so that it does not share the address
+//! pair that a device between the two hosts may have lost.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,6 +77,8 @@
 struct Link {
     connection: Option<Greeted>,
     failed_at: Option<time::Instant>,
+    /// Whether the latest connection went silent.
+    was_silent: bool,
 }
 
 type Slot = Rc<Mutex<Link>>;
@@ -84,20 +88,28 @@
 pub struct Client {
     config: quinn::ClientConfig,
     local: net::IpAddr,
+    shared: quinn::Endpoint,
     slots: Rc<RefCell<HashMap<Peer, Slot>>>,
     sink: peer::Sink,
 }
 
 impl Client {
     /// A client without connections; sockets are bound to `local`.
-    #[must_use]
-    pub fn new(config: quinn::ClientConfig, local: net::IpAddr, sink: peer::Sink) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// No socket can be had.
+    pub fn new(
+        config: quinn::ClientConfig,
+        local: net::IpAddr,
+        sink: peer::Sink,
+    ) -> io::Result<Self> {
+        Ok(Self {
             config,
             local,
+            shared: open(local)?,
             slots: Rc::default(),
             sink,
-        }
+        })
     }
 
     /// Starts work on a command.
@@ -202,6 +214,7 @@
         let same = |c: &Greeted| c.connection.stable_id() == connection.stable_id();
         if held.connection.as_ref().is_some_and(same) {
             held.connection = None;
+            held.was_silent = true;
         }
     }
 
@@ -225,22 +238,34 @@
         if link.failed_at.is_some_and(|at| at >= asked_at) {
             return Err(ConnectError::Timeout(peer.address));
         }
-        let connected = self.connect(peer.address).await;
+        let connected = self.connect(peer.address, link.was_silent).await;
         link.failed_at = connected.is_err().then(time::Instant::now);
         link.connection = connected.as_ref().ok().cloned();
         connected
     }
 
-    async fn connect(&self, address: net::SocketAddr) -> Result<Greeted, ConnectError> {
-        let mut endpoint = quinn::Endpoint::client((self.local, 0).into())?;
-        endpoint.set_default_client_config(self.config.clone());
-        let connecting = endpoint.connect(address, tls::SERVER_NAME)?;
+    async fn connect(
+        &self,
+        address: net::SocketAddr,
+        own_socket: bool,
+    ) -> Result<Greeted, ConnectError> {
+        let endpoint = if own_socket {
+            open(self.local)?
+        } else {
+            self.shared.clone()
+        };
+        let config = self.config.clone();
+        let connecting = endpoint.connect_with(config, address, tls::SERVER_NAME)?;
         time::timeout(CONNECT_TIMEOUT, greeted(connecting))
             .await
             .map_err(|_| ConnectError::Timeout(address))?
     }
 }
 
+fn open(local: net::IpAddr) -> io::Result<quinn::Endpoint> {
+    quinn::Endpoint::client((local, 0).into())
+}
+
 async fn greeted(connecting: quinn::Connecting) -> Result<Greeted, ConnectError> {
     let connection = connecting.await?;
     let mut rx = connection.accept_uni().await?;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -52,8 +52,8 @@
     pub host: id::HostName,
     /// Address of the sender for other daemons.
     pub address: net::SocketAddr,
-    /// Digest of all that the sender holds.
-    pub digest: replica::Digest,
+    /// Digest of all that the sender holds, where it is to be compared.
+    pub digest: Option<replica::Digest>,
     /// Versions that the sender holds, where it asks for newer ones.
     pub versions: Option<Vec<(replica::Key, id::Version)>>,
     /// Objects that the sender believes are news.
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -43,7 +43,7 @@
         sink.clone(),
         open.clone(),
     ));
-    let client = client::Client::new(transport.client, local, sink);
+    let client = client::Client::new(transport.client, local, sink)?;
     while let Some(command) = commands.recv().await {
         client.run(command);
     }
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -16,8 +16,10 @@
 /// Protocol name, with its version.
 const ALPN: &[u8] = b"pollenrouter/1";
 /// A connection without traffic is closed after this long.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
-const STREAMS_MAX: u32 = 4096;
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// The library sets memory aside for each stream that a connection allows.
+const CALLS_MAX: u32 = 256;
+const TELLS_MAX: u32 = 64;
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 
 quick_error! {
@@ -94,8 +96,8 @@
     let mut settings = quinn::TransportConfig::default();
     let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT).map_err(rejected)?;
     settings.max_idle_timeout(Some(idle));
-    settings.max_concurrent_bidi_streams(STREAMS_MAX.into());
-    settings.max_concurrent_uni_streams(STREAMS_MAX.into());
+    settings.max_concurrent_bidi_streams(CALLS_MAX.into());
+    settings.max_concurrent_uni_streams(TELLS_MAX.into());
     settings.stream_receive_window(STREAM_WINDOW_BYTES.into());
     Ok(settings)
 }
--- a/crates/dev/src/cli.rs
+++ b/crates/dev/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use pollenrouter_dev::target;
 
 /// Stand-ins, demo and measurements for pollenrouter.
@@ -25,6 +25,33 @@
     Demo(Demo),
     /// Measure the latency that the path adds to a direct call.
     Measure(Measure),
+    /// Measure what a daemon spends as one quantity grows.
+    Capacity(Capacity),
+}
+
+/// Arguments of `capacity`.
+#[derive(Debug, Args)]
+pub struct Capacity {
+    /// The quantity that grows.
+    pub what: Slope,
+    /// Its sizes.
+    #[arg(required = true)]
+    pub sizes: Vec<usize>,
+}
+
+/// A quantity that grows.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum Slope {
+    /// Daemons in the fleet.
+    Members,
+    /// Services with a document.
+    Services,
+    /// Size of each document.
+    DocumentBytes,
+    /// Calls per second.
+    Calls,
+    /// Tickets that a gate remembers.
+    Tickets,
 }
 
 /// Arguments of `demo`.
--- a/crates/dev/src/main.rs
+++ b/crates/dev/src/main.rs
@@ -1,5 +1,6 @@
 //! Development tool: stand-ins, demo and measurements.
 
+mod capacity;
 mod cli;
 mod demo;
 mod measure;
@@ -26,6 +27,7 @@
         Command::Platform => platform::run().map(|()| ExitCode::SUCCESS),
         Command::Target(profile) => target::run(profile).map(|()| ExitCode::SUCCESS),
         Command::Demo(args) => demo::run(&args),
+        Command::Capacity(args) => capacity::run(&args).map(|()| ExitCode::SUCCESS),
         Command::Measure(args) => measure::run(&args).map(|()| ExitCode::SUCCESS),
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -34,7 +34,7 @@
     pub head_bytes: usize,
     /// Headers in a request.
     pub headers: usize,
-    /// Time for a request's head.
+    /// Time for a request's head, counted from the end of the one before.
     pub head_timeout: Duration,
 }
 
@@ -44,7 +44,7 @@
             connections: 1024,
             head_bytes: 16 << 10,
             headers: 64,
-            head_timeout: Duration::from_secs(5),
+            head_timeout: Duration::from_secs(10),
         }
     }
 }
