--- a/crates/dev/src/caller.rs
+++ b/crates/dev/src/caller.rs
@@ -35,6 +35,8 @@
     pub ticket: Option<SmolStr>,
     /// Time left, to state in the call.
     pub deadline: Option<Duration>,
+    /// Calls from target to target that it brings about.
+    pub chain: u32,
 }
 
 /// What a caller was told.
@@ -122,6 +124,9 @@
         .header("host", address.to_string())
         .header(ledger::REQUEST, call.request.as_str())
         .header(target::SIZE, call.answer_bytes.to_string());
+    if call.chain > 0 {
+        builder = builder.header(target::CHAIN, call.chain.to_string());
+    }
     if let Some(work) = call.work {
         builder = builder.header(target::WORK, work.as_micros().to_string());
     }
--- a/crates/dev/src/capacity.rs
+++ b/crates/dev/src/capacity.rs
@@ -321,5 +321,6 @@
         answer_bytes: 100,
         ticket: None,
         deadline: None,
+        chain: 0,
     }
 }
--- a/crates/dev/src/demo.rs
+++ b/crates/dev/src/demo.rs
@@ -203,6 +203,7 @@
         answer_bytes,
         ticket: None,
         deadline: None,
+        chain: 0,
     };
     (service, method == "POST", call)
 }
--- a/crates/dev/src/deployment.rs
+++ b/crates/dev/src/deployment.rs
@@ -224,8 +224,7 @@
             fs::write(&settings, settings_text(&name, domain, platform, keys))?;
             let (daemon, addresses) = start_daemon(&name, &settings)?;
             let ledger = self.folder.path().join(format!("{name}.ledger"));
-            let (target, target_address) =
-                start_target(&name, service, addresses.announcements, &ledger, nth)?;
+            let (target, target_address) = start_target(&name, service, &addresses, &ledger, nth)?;
             self.hosts.push(Host {
                 name,
                 service: service.name,
@@ -401,13 +400,14 @@
 fn start_target(
     name: &str,
     service: &ServicePlan,
-    daemon: SocketAddr,
+    daemon: &Addresses,
     ledger: &Path,
     seed: usize,
 ) -> Result<(Process, SocketAddr), Error> {
     let fields = [
         ("--service", service.name.to_owned()),
-        ("--daemon", daemon.to_string()),
+        ("--daemon", daemon.announcements.to_string()),
+        ("--internal", daemon.internal.to_string()),
         ("--slots", service.slots.to_string()),
         ("--work-us", service.work_us.to_string()),
         ("--stragglers", service.stragglers.to_string()),
--- a/crates/dev/src/measure.rs
+++ b/crates/dev/src/measure.rs
@@ -94,6 +94,7 @@
         answer_bytes: 100,
         ticket: None,
         deadline: None,
+        chain: 0,
     };
     let ended = caller::call(client, &call).await;
     match ended.told {
--- a/crates/dev/src/target.rs
+++ b/crates/dev/src/target.rs
@@ -30,6 +30,11 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
 const CALL: &str = "pollenrouter-call";
+const DEPTH: &str = "pollenrouter-depth";
+const DEADLINE: &str = "pollenrouter-deadline-ms";
+/// Header by which a caller of the tools asks for calls from target to target:
+/// how many more, each on the same path.
+pub const CHAIN: &str = "x-chain";
 const CANCELLED: StatusCode = StatusCode::GONE;
 /// Header with the time that a run took, microseconds.
 pub const TOOK: &str = "target-took-us";
@@ -47,6 +52,9 @@
     /// Target address of the daemon on its host.
     #[arg(long)]
     pub daemon: Option<SocketAddr>,
+    /// Internal address of the daemon on its host, for calls of its own.
+    #[arg(long)]
+    pub internal: Option<SocketAddr>,
     /// Calls that it runs at once.
     #[arg(long, default_value_t = 10)]
     pub slots: u32,
@@ -257,6 +265,7 @@
         let number = |name| head::text(req.headers(), name).and_then(|text| text.parse().ok());
         let work = number(WORK).map(Duration::from_micros);
         let size: u64 = number(SIZE).unwrap_or(0);
+        let onward = self.onward(&req);
         let Ok(body) = body::read(req.into_body(), BODY_MAX_BYTES, BODY_TIMEOUT).await else {
             return problem::text(StatusCode::BAD_REQUEST, String::new());
         };
@@ -285,9 +294,34 @@
         if ended == Step::Cancelled {
             return problem::text(CANCELLED, "cancelled\n".to_owned());
         }
+        if let Some((client, onward)) = onward
+            && !relay(&client, onward).await
+        {
+            return problem::text(StatusCode::BAD_GATEWAY, "chain broke\n".to_owned());
+        }
         answer(&run.line.request, &body, size, begun.elapsed())
     }
 
+    /// The next call of a chain, by the internal listener of the daemon.
+    fn onward(&self, req: &Request<Incoming>) -> Option<(client::Client, Request<Full<Bytes>>)> {
+        let header = |name| head::text(req.headers(), name);
+        let left: u32 = header(CHAIN)?.parse().ok().filter(|left| *left > 0)?;
+        let client = client::Client::new(self.profile.internal?);
+        let path = format!("/{}{}", self.profile.service, req.uri().path());
+        let mut builder = Request::builder()
+            .method(req.method())
+            .uri(path)
+            .header("host", client.address().to_string())
+            .header(CHAIN, (left - 1).to_string());
+        for name in [DEPTH, DEADLINE, WORK, SIZE, ledger::REQUEST] {
+            if let Some(value) = req.headers().get(name) {
+                builder = builder.header(name, value);
+            }
+        }
+        let request = builder.body(Full::new(Bytes::new())).ok()?;
+        Some((client, request))
+    }
+
     /// A target without a whole ledger can judge nothing, so it ends.
     fn note(&self, line: &Line) {
         if let Err(err) = self.ledger.borrow_mut().write(line) {
@@ -325,6 +359,14 @@
     }
 }
 
+/// Makes the next call of a chain; tells whether it was answered.
+async fn relay(client: &client::Client, request: Request<Full<Bytes>>) -> bool {
+    match client.send(request).await {
+        Ok((response, _)) => response.status().is_success(),
+        Err(_) => false,
+    }
+}
+
 /// The whole answer names its request, so that a caller can tell its own.
 fn answer(request: &str, body: &Bytes, size: u64, took: Duration) -> Answer {
     let padding = "x".repeat(usize::try_from(size).unwrap_or(0));
--- a/crates/dev/tests/failures.rs
+++ b/crates/dev/tests/failures.rs
@@ -7,7 +7,7 @@
 
 use pollenrouter_dev::caller::{self, Told};
 use pollenrouter_dev::deployment::Deployment;
-use pollenrouter_dev::platform;
+use pollenrouter_dev::{platform, target};
 use rustix::process::Signal;
 use support::{call, document, plan, runs, status};
 
@@ -206,6 +206,74 @@
     assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
 }
 
+#[test]
+fn a_leaving_target_gets_no_new_work_though_the_platform_is_out() {
+    let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let down = platform::Faults {
+        down: true,
+        ..platform::Faults::default()
+    };
+    deployment
+        .platform_faults(down)
+        .expect("platform must reply");
+    let leaving = target::Control {
+        draining: true,
+        ..target::Control::default()
+    };
+    deployment.hosts[0]
+        .control(&leaving)
+        .expect("target must reply");
+    support::until("the gate knows", || {
+        status(&deployment, 0)["own"]["load"]["leaving"] == true
+    });
+    for (host, request) in deployment.hosts.iter().zip(["r1", "r2"]) {
+        let list = call("GET", "/board/refresh", request);
+        let ended = caller::call_once(host.addresses.public, &list);
+        assert!(matches!(ended.told, Told::NotRun(_)), "{ended:?}");
+        assert_eq!(runs(&deployment, request), 0);
+    }
+}
+
+#[test]
+fn chains_of_seven_calls_into_one_service_all_end() {
+    let mut plan = plan(2, 0);
+    plan.services.retain(|service| service.name == "board");
+    let deployment = Deployment::start(&plan).expect("deployment must start");
+    let read_at = status(&deployment, 0)["documents"][0]["version"].as_u64();
+    let read_at = read_at.expect("document must be in force");
+    let deep = support::edited(&deployment, "board", "depth_levels: 1", "depth_levels: 7");
+    deployment
+        .apply(&deep, read_at)
+        .expect("document must be applied");
+    let newer = |status: &serde_json::Value| {
+        status["documents"][0]["version"]
+            .as_u64()
+            .is_some_and(|version| version > read_at)
+    };
+    deployment
+        .wait("the new version", newer)
+        .expect("the new version must come into force");
+
+    let callers: Vec<_> = (0..24)
+        .map(|nth| {
+            let mut list = call("GET", "/board/refresh", &format!("r{nth}"));
+            list.work = Some(Duration::from_millis(20));
+            list.deadline = Some(Duration::from_secs(20));
+            list.chain = 6;
+            let entry = deployment.hosts[nth % 2].addresses.public;
+            thread::spawn(move || caller::call_once(entry, &list))
+        })
+        .collect();
+    for (nth, caller) in callers.into_iter().enumerate() {
+        let ended = caller.join().expect("caller must end");
+        assert!(
+            matches!(ended.told, Told::Answered { .. }),
+            "{nth}: {ended:?}"
+        );
+        assert_eq!(runs(&deployment, &format!("r{nth}")), 7);
+    }
+}
+
 #[test]
 fn racing_operators_get_one_winner_and_a_lost_answer_is_known_again() {
     let deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
--- a/crates/dev/tests/support/mod.rs
+++ b/crates/dev/tests/support/mod.rs
@@ -44,6 +44,7 @@
         answer_bytes: 10,
         ticket: None,
         deadline: None,
+        chain: 0,
     }
 }
 
@@ -116,13 +117,23 @@
 
 /// A service's example document with another time owed on its first route.
 pub fn document(deployment: &Deployment, service: &str, owed_ms: u32) -> PathBuf {
+    edited(
+        deployment,
+        service,
+        "owed_ms: 500",
+        &format!("owed_ms: {owed_ms}"),
+    )
+}
+
+/// A service's example document with one text replaced.
+pub fn edited(deployment: &Deployment, service: &str, from: &str, to: &str) -> PathBuf {
     let example = examples().join("wartebank").join(format!("{service}.yaml"));
     let text = fs::read_to_string(example).expect("example must be readable");
-    let changed = text.replacen("owed_ms: 500", &format!("owed_ms: {owed_ms}"), 1);
+    let changed = text.replacen(from, to, 1);
     let file = deployment
         .folder
         .path()
-        .join(format!("{service}-{owed_ms}.yaml"));
+        .join(format!("{service} {to}.yaml"));
     fs::write(&file, changed).expect("document must be written");
     file
 }
