Keep answers in buffers of their own size; load tool and slopes

Cause: a kept answer held the whole buffer that it was read into: 5.6 KB for 100 bytes, and the bound on kept answers counted the 100 only. Ruled out: the records (about 150 bytes each by their types). The bound now counts headers and what each entry costs.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -45,7 +45,7 @@
 pub enum Outcome {
     /// It answered.
     Answered {
-        /// Size of the answer's body, bytes.
+        /// Memory that the answer takes if it is kept, bytes.
         bytes: u64,
         /// Whether the answer is a server error.
         failed: bool,
--- a/crates/dev/src/capacity.rs
+++ b/crates/dev/src/capacity.rs
@@ -1,8 +1,6 @@
 //! Slopes for the capacity page: what a daemon spends as the fleet, the number
 //! and size of documents, the call rate and the tickets kept grow.
 
-#![allow(clippy::cast_precision_loss, reason = "all figures are far below 2^52")]
-
 use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/dev/src/cli.rs
+++ b/crates/dev/src/cli.rs
@@ -25,10 +25,35 @@
     Demo(Demo),
     /// Measure the latency that the path adds to a direct call.
     Measure(Measure),
+    /// Load one service on a schedule, beside computed baselines.
+    Load(Load),
     /// Measure what a daemon spends as one quantity grows.
     Capacity(Capacity),
 }
 
+/// Arguments of `load`.
+#[derive(Debug, Args)]
+pub struct Load {
+    /// Folder with the examples.
+    #[arg(long, default_value = "examples")]
+    pub examples: PathBuf,
+    /// Mean load as a share of what all slots can serve.
+    #[arg(long = "load", default_value_t = 0.7)]
+    pub share: f64,
+    /// Length, seconds.
+    #[arg(long, default_value_t = 20)]
+    pub seconds: u64,
+    /// Seed of arrivals and service times.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// File for the report in JSON.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+    /// File for the plot in SVG.
+    #[arg(long)]
+    pub plot: Option<PathBuf>,
+}
+
 /// Arguments of `capacity`.
 #[derive(Debug, Args)]
 pub struct Capacity {
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod ledger;
 pub mod platform;
 pub mod process;
+pub mod schedule;
 pub mod target;
--- a/crates/dev/src/main.rs
+++ b/crates/dev/src/main.rs
@@ -1,9 +1,14 @@
 //! Development tool: stand-ins, demo and measurements.
 
+#![allow(clippy::cast_precision_loss, reason = "all figures are far below 2^52")]
+
+mod baseline;
 mod capacity;
 mod cli;
 mod demo;
+mod load;
 mod measure;
+mod plot;
 
 use std::process::ExitCode;
 
@@ -28,6 +33,7 @@
         Command::Target(profile) => target::run(profile).map(|()| ExitCode::SUCCESS),
         Command::Demo(args) => demo::run(&args),
         Command::Capacity(args) => capacity::run(&args).map(|()| ExitCode::SUCCESS),
+        Command::Load(args) => load::run(&args).map(|()| ExitCode::SUCCESS),
         Command::Measure(args) => measure::run(&args).map(|()| ExitCode::SUCCESS),
     }
 }
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -415,9 +415,7 @@
                 let reply = Reply::NotRun(Refusal::WrongRequest);
                 self.reply_to(id, latest, reply, self.gate.hint(now));
             }
-            gate::Output::Keep(id) => {
-                self.kept.insert(id);
-            }
+            gate::Output::Keep(id) => self.keep(id),
             gate::Output::Forget(id) => {
                 self.kept.remove(&id);
                 self.answers.remove(&id);
@@ -425,6 +423,15 @@
         }
     }
 
+    /// Keeps an answer in a buffer of its own size; the one that it was read into
+    /// is much larger.
+    fn keep(&mut self, id: id::CallId) {
+        if let Some(answer) = self.answers.get_mut(&id) {
+            answer.body = Bytes::copy_from_slice(&answer.body);
+            self.kept.insert(id);
+        }
+    }
+
     fn start(&mut self, id: id::CallId, deadline: Duration) {
         let Some(held) = self.held.remove(&id) else {
             warn!("call without a request");
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -23,6 +23,10 @@
 const DEPTH: &str = "pollenrouter-depth";
 /// Time after the deadline for which a started call's answer is awaited.
 const AFTER_DEADLINE: Duration = Duration::from_mins(1);
+/// Memory that a kept answer and each of its headers take besides their text,
+/// bytes.
+const ANSWER_COST: usize = 256;
+const HEADER_COST: usize = 64;
 const ROOM_PAUSE: Duration = Duration::from_millis(1);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_PATH: &str = "/.target/cancel/";
@@ -183,8 +187,13 @@
 }
 
 fn answered(answer: &Answer) -> gate::Outcome {
+    let (head, body) = answer;
+    let headers = head.headers.iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.len() + value.len() + HEADER_COST)
+        .sum();
     gate::Outcome::Answered {
-        bytes: answer.1.len() as u64,
+        bytes: (body.len() + headers + ANSWER_COST) as u64,
         failed: answer.0.status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16(),
     }
 }
