Histograms with fixed bounds in the tools

Cause: the tools' histograms took times over 2,047 us as 2,047 us: the library's default range grows only with another call. The load tool's first run showed latencies of at most 2 ms for work of 20 ms. Ruled out: clocks and the schedule (answered calls and goodput were right). Conclusion: one type for times, used by demo, measure and load.

--- a/crates/dev/src/demo.rs
+++ b/crates/dev/src/demo.rs
@@ -10,11 +10,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use pollenrouter_dev::caller::{self, Call, Told};
 use pollenrouter_dev::deployment::{self, Deployment, Host};
 use pollenrouter_dev::error::Error;
 use pollenrouter_dev::judge::{self, Made};
+use pollenrouter_dev::times::Times;
 use pollenrouter_dev::{ledger, target};
 use pollenrouter_http::client;
 use rand::rngs::SmallRng;
@@ -212,19 +212,18 @@
     println!("service      calls  p50 added  p99 added  max added  refused  unknown");
     for service in ["board", "assignment", "seats"] {
         let of: Vec<&Made> = made.iter().filter(|made| made.service == service).collect();
-        let mut added = Histogram::<u64>::new(3).expect("histogram must be valid");
+        let mut added = Times::default();
         for call in &of {
             if let Told::Answered { took } = call.ended.told {
-                let micros = call.ended.latency.saturating_sub(took).as_micros();
-                added.saturating_record(u64::try_from(micros).unwrap_or(u64::MAX));
+                added.record(call.ended.latency.saturating_sub(took));
             }
         }
         let told = |wanted: fn(&Told) -> bool| of.iter().filter(|c| wanted(&c.ended.told)).count();
         println!(
             "{service:<12} {:>5} {:>7} us {:>7} us {:>7} us {:>8} {:>8}",
             of.len(),
-            added.value_at_quantile(0.5),
-            added.value_at_quantile(0.99),
+            added.at(0.5),
+            added.at(0.99),
             added.max(),
             told(|t| matches!(t, Told::NotRun(_))),
             told(|t| matches!(t, Told::Unknown(_))),
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod process;
 pub mod schedule;
 pub mod target;
+pub mod times;
--- a/crates/dev/src/load.rs
+++ b/crates/dev/src/load.rs
@@ -8,13 +8,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use pollenrouter_dev::caller::{self, Call, Ended, Told};
 use pollenrouter_dev::deployment::{self, Deployment};
 use pollenrouter_dev::error::Error;
 use pollenrouter_dev::judge::{self, Made, Verdict};
 use pollenrouter_dev::ledger;
 use pollenrouter_dev::schedule::{self, Arrival, Class, Shape};
+use pollenrouter_dev::times::Times;
 use pollenrouter_http::client;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -229,11 +229,11 @@
 }
 
 fn row(policy: &str, class: Option<Class>, latencies: &[Duration]) -> Row {
-    let mut times = Histogram::<u64>::new(3).expect("histogram must be valid");
+    let mut times = Times::default();
     for latency in latencies {
-        times.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+        times.record(*latency);
     }
-    let at = |q| times.value_at_quantile(q) as f64 / 1000.0;
+    let at = |q| times.at(q) as f64 / 1000.0;
     Row {
         policy: policy.to_owned(),
         class,
--- a/crates/dev/src/measure.rs
+++ b/crates/dev/src/measure.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use pollenrouter_dev::caller::{self, Call, Told};
 use pollenrouter_dev::deployment::{self, Deployment};
 use pollenrouter_dev::error::Error;
+use pollenrouter_dev::times::Times;
 use pollenrouter_http::client;
 use tokio::{runtime, task, time};
 
@@ -39,8 +39,8 @@
     let times = task::LocalSet::new().block_on(&runtime, work);
     println!("kind         p50 us  p99 us  max us  added at p50  added at p99");
     for (name, of) in KINDS.iter().zip(&times) {
-        let at = |q| of.value_at_quantile(q);
-        let added = |q| at(q).saturating_sub(times[0].value_at_quantile(q));
+        let at = |q| of.at(q);
+        let added = |q| at(q).saturating_sub(times[0].at(q));
         println!(
             "{name:<12} {:>6}  {:>6}  {:>6}  {:>12}  {:>12}",
             at(0.5),
@@ -54,37 +54,30 @@
     Ok(())
 }
 
-async fn measure(
-    args: &cli::Measure,
-    entry: SocketAddr,
-    target: SocketAddr,
-) -> Vec<Histogram<u64>> {
+async fn measure(args: &cli::Measure, entry: SocketAddr, target: SocketAddr) -> Vec<Times> {
     let (to_entry, to_target) = (client::Client::new(entry), client::Client::new(target));
     let paths = [
         (&to_target, "/list"),
         (&to_entry, "/board/refresh"),
         (&to_entry, "/seats/list"),
     ];
-    let mut times: Vec<Histogram<u64>> = paths
-        .iter()
-        .map(|_| Histogram::new(3).expect("histogram must be valid"))
-        .collect();
+    let mut times: Vec<Times> = paths.iter().map(|_| Times::default()).collect();
     let period = Duration::from_secs(1) / u32::try_from(args.rate.max(1)).unwrap_or(1);
     let mut due = time::interval(period);
     for nth in 0..args.calls + WARM_UP_CALLS {
         due.tick().await;
         for ((client, path), times) in paths.iter().zip(&mut times) {
-            let micros = timed(client, path, nth).await;
+            let latency = timed(client, path, nth).await;
             if nth >= WARM_UP_CALLS {
-                times.saturating_record(micros);
+                times.record(latency);
             }
         }
     }
     times
 }
 
-/// Time of one call, microseconds; a failed call counts as the largest time.
-async fn timed(client: &client::Client, path: &str, nth: usize) -> u64 {
+/// Time of one call; a failed call counts as the largest time.
+async fn timed(client: &client::Client, path: &str, nth: usize) -> Duration {
     let call = Call {
         request: format!("m{nth}").into(),
         method: "GET",
@@ -98,10 +91,10 @@
     };
     let ended = caller::call(client, &call).await;
     match ended.told {
-        Told::Answered { .. } => u64::try_from(ended.latency.as_micros()).unwrap_or(u64::MAX),
+        Told::Answered { .. } => ended.latency,
         other => {
             eprintln!("call failed: {other:?}");
-            u64::MAX
+            Duration::MAX
         }
     }
 }
