--- a/crates/caller/src/ending.rs
+++ b/crates/caller/src/ending.rs
@@ -38,7 +38,7 @@
 pub fn refused(refusal: Refusal) -> Response<Full<Bytes>> {
     let status = match refusal {
         Refusal::NoDocument | Refusal::NoRoute => StatusCode::NOT_FOUND,
-        Refusal::NotPublic => StatusCode::FORBIDDEN,
+        Refusal::NotPublic | Refusal::NotCaller => StatusCode::FORBIDDEN,
         Refusal::WrongService | Refusal::WrongRequest | Refusal::Void => StatusCode::CONFLICT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -54,6 +54,8 @@
         NoRoute { display("the service has no route for this method and path") }
         /// The route is for calls between services only.
         NotPublic { display("the route is closed to the public") }
+        /// The calling service is not among those that the document names.
+        NotCaller { display("the service does not admit this caller") }
         /// No gate of the service is known or reachable.
         NoTarget { display("no target of this service is reachable") }
         /// The target or its daemon is leaving.
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -12,6 +12,8 @@
 pub struct Service {
     /// The service's name.
     pub name: id::ServiceName,
+    /// Services that may call by the internal listener; empty for all.
+    pub internal_callers: Vec<id::ServiceName>,
     /// Routes in the order they are matched.
     pub routes: Vec<Route>,
     /// Bounds on queues, slots and sizes.
@@ -96,6 +98,13 @@
             .find(|route| route.method == method && path.starts_with(route.path.as_str()))
     }
 
+    /// Whether another service may call this one.
+    #[must_use]
+    pub fn admits(&self, caller: Option<&id::ServiceName>) -> bool {
+        self.internal_callers.is_empty()
+            || caller.is_some_and(|caller| self.internal_callers.contains(caller))
+    }
+
     /// The route with a name.
     #[must_use]
     pub fn route_named(&self, name: &str) -> Option<&Route> {
--- a/crates/core/tests/model/documents.rs
+++ b/crates/core/tests/model/documents.rs
@@ -44,6 +44,7 @@
     }
     Ok(Service {
         name: name(),
+        internal_callers: Vec::new(),
         routes: Vec::new(),
         limits: Limits {
             queue: 0,
--- a/crates/core/tests/model/world.rs
+++ b/crates/core/tests/model/world.rs
@@ -105,6 +105,7 @@
 fn service() -> Service {
     Service {
         name: SERVICE.into(),
+        internal_callers: Vec::new(),
         routes: Vec::new(),
         limits: Limits {
             queue: 8,
--- a/crates/core/tests/scenarios/engine.rs
+++ b/crates/core/tests/scenarios/engine.rs
@@ -470,6 +470,7 @@
     };
     Service {
         name: SERVICE.into(),
+        internal_callers: Vec::new(),
         routes: vec![
             route("assign", false, Size::Short),
             route("list", true, Size::Short),
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -33,6 +33,7 @@
 
 fn service(f: &mut Fields<'_, '_>) -> Option<Service> {
     let name = f.name("service");
+    let internal_callers = f.names("internal_callers");
     let routes = f.mappings("routes", route);
     let limits = f.optional_mapping("limits", default_limits(), limits);
     let measuring = f.mapping("measuring", measuring);
@@ -41,6 +42,7 @@
     }
     Some(Service {
         name: name?,
+        internal_callers: internal_callers?,
         routes: routes?,
         limits: limits?,
         measuring: measuring?,
--- a/crates/operator/src/fields.rs
+++ b/crates/operator/src/fields.rs
@@ -151,6 +151,27 @@
         None
     }
 
+    /// A sequence of names that may be absent.
+    pub fn names(&mut self, name: &'static str) -> Option<Vec<SmolStr>> {
+        let Some(node) = self.find(name) else {
+            return Some(Vec::new());
+        };
+        let YamlData::Sequence(elements) = &node.data else {
+            self.wrong(node, name, "is not a sequence");
+            return None;
+        };
+        let read = |element: &MarkedYaml<'_>| match &element.data {
+            YamlData::Value(Scalar::String(text)) if is_name(text) => Some(SmolStr::new(text)),
+            _ => {
+                self.wrong(element, name, "holds an element that is not a name");
+                None
+            }
+        };
+        // Every element is read before the first wrong one ends the whole.
+        let names: Vec<Option<SmolStr>> = elements.iter().map(read).collect();
+        names.into_iter().collect()
+    }
+
     /// A field whose text has a form of its own, such as an address.
     pub fn parsed<T: FromStr>(&mut self, name: &'static str) -> Option<T>
     where
@@ -226,8 +247,7 @@
         value
     }
 
-    /// A mapping within the mapping; `None` inside the closure's reader if it
-    /// is absent and `optional`.
+    /// A mapping within the mapping.
     pub fn mapping<T>(
         &mut self,
         name: &'static str,
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -10,6 +10,8 @@
 pub const SERVICES: &str = "services/";
 /// Keys of members begin with this.
 pub const MEMBERS: &str = "members/";
+/// Keys of the rejections of a service's documents begin with this.
+pub const REJECTIONS: &str = "rejections/";
 /// Changes that an object remembers.
 const CHANGES_MAX: usize = 100;
 
@@ -22,6 +24,17 @@
     pub changes: Vec<Change>,
 }
 
+/// Rejected versions of a service's document.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rejections {
+    /// The latest rejected version.
+    pub version: id::Version,
+    /// What is wrong with it.
+    pub findings: Vec<String>,
+    /// Latest changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
 /// A member: one daemon beside one target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -81,6 +94,12 @@
     format!("{SERVICES}{service}").into()
 }
 
+/// Key of the rejections of a service's document.
+#[must_use]
+pub fn rejections_key(service: &str) -> SmolStr {
+    format!("{REJECTIONS}{service}").into()
+}
+
 /// Key of a member.
 #[must_use]
 pub fn member_key(host: &str) -> SmolStr {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -244,8 +244,12 @@
                 version,
                 findings,
             } => {
-                let findings = findings.join("; ");
-                warn!(service:% = name, version; "document rejected: {findings}");
+                let text = findings.join("; ");
+                warn!(service:% = name, version; "document rejected: {text}");
+                // The verdict is the same everywhere, so a few daemons note it.
+                if self.membership.is_watcher() {
+                    self.write(Write::Rejected(name, version, findings));
+                }
             }
         }
     }
@@ -271,20 +275,16 @@
 
     fn register(&mut self) {
         self.registered_at = None;
-        if self
-            .shared
-            .writes
-            .try_send(Write::Register(self.own.clone()))
-            .is_err()
-        {
-            warn!("could not register: too many writes wait for the platform");
-        }
+        self.write(Write::Register(self.own.clone()));
     }
 
     fn report(&self, member: membership::Member) {
-        let write = Write::Report(member.host, member.incarnation);
-        if self.shared.writes.try_send(write).is_err() {
-            warn!("could not report a member: too many writes wait for the platform");
+        self.write(Write::Report(member.host, member.incarnation));
+    }
+
+    fn write(&self, write: Write) {
+        if let Err(err) = self.shared.writes.try_send(write) {
+            warn!("too many writes wait for the platform: {err}");
         }
     }
 }
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -9,7 +9,7 @@
 use log::{info, warn};
 use pollenrouter_core::{id, replica};
 use pollenrouter_platform::client::{Client, PlatformError};
-use pollenrouter_platform::object::{self, Change, Member, MemberState};
+use pollenrouter_platform::object::{self, Change, Member, MemberState, Rejections};
 use smol_str::SmolStr;
 
 use crate::error::Error;
@@ -32,6 +32,8 @@
     Register(Member),
     /// A member is gone.
     Report(id::HostName, id::Incarnation),
+    /// A document was rejected: service, version and findings.
+    Rejected(id::ServiceName, id::Version, Vec<String>),
 }
 
 /// A change made now.
@@ -120,6 +122,9 @@
         for write in writes {
             let written = match &write {
                 Write::Register(member) => retry("register", || register(&client, member, &author)),
+                Write::Rejected(service, version, findings) => retry("note a rejection", || {
+                    reject(&client, service, *version, findings, &author)
+                }),
                 Write::Report(host, incarnation) => report(&client, host, *incarnation, &author)
                     .unwrap_or_else(|err| {
                         warn!(host:%; "could not report a member: {err}");
@@ -165,6 +170,36 @@
     put(client, &key, member, held.version, author)
 }
 
+/// Notes a rejection for the audit trail, once for each version.
+fn reject(
+    client: &Client,
+    service: &str,
+    version: id::Version,
+    findings: &[String],
+    author: &str,
+) -> Written {
+    let key = object::rejections_key(service);
+    let held = client.get(&key)?;
+    let parsed = held
+        .as_ref()
+        .and_then(|o| serde_json::from_str::<Rejections>(&o.value).ok());
+    let mut rejections = parsed.unwrap_or_default();
+    if rejections.version >= version {
+        return Ok(None);
+    }
+    let from = held.map_or(0, |object| object.version);
+    let action = format!(
+        "rejected version {version} of the document: {}",
+        findings.join("; ")
+    );
+    rejections.version = version;
+    rejections.findings = findings.to_vec();
+    object::note(&mut rejections.changes, change(author, &action, from));
+    let value = serde_json::to_string(&rejections).unwrap_or_default();
+    client.put_recognized(&key, &value, from)?;
+    Ok(None)
+}
+
 fn put(
     client: &Client,
     key: &SmolStr,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -91,10 +91,12 @@
 
     fn caller(&mut self, event: caller::Event) {
         match event {
-            caller::Event::Call(call) => match routes::route(self.fleet.documents(), call) {
-                Ok(routed) => self.calls.call(routed),
-                Err((call, refusal)) => self.calls.refuse(call, refusal),
-            },
+            caller::Event::Call(call) => {
+                match routes::route(self.fleet.documents(), self.service.as_ref(), call) {
+                    Ok(routed) => self.calls.call(routed),
+                    Err((call, refusal)) => self.calls.refuse(call, refusal),
+                }
+            }
             caller::Event::Gone(token) => self.calls.gone(token),
             caller::Event::Ticket(service, reply_to) => {
                 // The caller may have left.
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use pollenrouter_caller::message::Call;
 use pollenrouter_core::call::Refusal;
-use pollenrouter_core::{documents, exchange, service};
+use pollenrouter_core::{documents, exchange, id, service};
 
 use crate::calls::Routed;
 
@@ -16,6 +16,7 @@
 /// The call, with the reason why it is refused.
 pub fn route(
     documents: &documents::Documents,
+    own: Option<&id::ServiceName>,
     call: Box<Call>,
 ) -> Result<Routed, (Box<Call>, Refusal)> {
     let Some((_, document)) = documents.get(&call.service) else {
@@ -28,6 +29,10 @@
     if call.depth == 0 && route.audience == service::Audience::Internal {
         return Err((call, Refusal::NotPublic));
     }
+    // Services call by the daemon on their own host.
+    if call.depth > 0 && !document.admits(own) {
+        return Err((call, Refusal::NotCaller));
+    }
     Ok(Routed {
         route: route.clone(),
         retry_percent: document.limits.retry_percent,
