Tick every 25 ms

Cause: at rest a daemon spends 0.6 % of a core, most of it in 100 ticks a second. Ruled out: gossip (bytes and processor do not grow with members). Conclusion: kept; waits in a queue end up to 25 ms late.

--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -31,7 +31,7 @@
 
 /// Commands that may wait for the protocol, and for the target's client.
 const RING: usize = 4096;
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(25);
 /// Time for the last write to the platform and the last answers.
 const LAST_WRITES: Duration = Duration::from_secs(1);
 
