--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -131,6 +131,7 @@
         remaining: Duration::from_secs(1),
         once: true,
         fingerprint: 4,
+        may_wait: true,
     }
 }
 
