--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -29,8 +29,6 @@
     pub once: bool,
     /// Digest of method, path and body; a ticket stays with one request.
     pub fingerprint: u64,
-    /// Whether it may wait for a slot; else it starts at once or is refused.
-    pub may_wait: bool,
 }
 
 /// Asks a gate to reply for a call that it may know, or to void its id.
@@ -64,8 +62,6 @@
         NoTarget { display("no target of this service is reachable") }
         /// The target or its daemon is leaving.
         Draining { display("the target is leaving") }
-        /// No slot is free, and the call may not wait here.
-        Busy { display("no slot is free") }
         /// Too many calls wait already.
         QueueFull { display("the queue is full") }
         /// The wait would outlast the deadline.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -35,14 +35,6 @@
     }
 }
 
-impl Load {
-    /// Whether the gate is believed to have a free slot.
-    #[must_use]
-    pub fn has_room(&self, now: Duration) -> bool {
-        self.score(now) < LOAD_SCALE
-    }
-}
-
 /// Picks a position among `loads` by two draws from `draw`.
 #[must_use]
 pub fn pick(loads: &[Load], draw: u64, now: Duration) -> Option<usize> {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -292,16 +292,10 @@
         id: id::CallId,
         out: &mut Vec<Output>,
     ) {
-        let Some(pending) = self.pending.get(&token) else {
-            return;
-        };
-        let elsewhere = self.room_elsewhere(now, &pending.request.service, &host);
         let Some(pending) = self.pending.get_mut(&token) else {
             return;
         };
         let request = &pending.request;
-        let bounced = !pending.tried.is_empty();
-        let may_wait = request.ticket.is_some() || bounced || !elsewhere;
         let offer = call::Offer {
             incarnation,
             id,
@@ -311,7 +305,6 @@
             remaining: pending.deadline.saturating_sub(now),
             once: request.once,
             fingerprint: request.fingerprint,
-            may_wait,
         };
         pending.tried.push(host.clone());
         pending.attempt = Some(Attempt {
@@ -331,17 +324,6 @@
         out.push(Output::Offer(host, token, offer));
     }
 
-    /// Whether another gate of the service is believed to have a free slot.
-    fn room_elsewhere(&self, now: Duration, service: &str, host: &id::HostName) -> bool {
-        self.gates.values().any(|gate| {
-            gate.member.service == service
-                && gate.member.serving
-                && gate.member.host != *host
-                && gate.suspicion.is_none()
-                && gate.load.has_room(now)
-        })
-    }
-
     fn pick(
         &self,
         now: Duration,
@@ -409,9 +391,7 @@
             .pending
             .get(&token)
             .is_some_and(|p| p.request.ticket.is_some());
-        // Looking for a free slot is part of the first attempt.
-        let looks_on = refusal == Refusal::Busy && self.can_go_on(now, token);
-        if !bound && (looks_on || self.may_retry(now, token)) {
+        if !bound && self.may_retry(now, token) {
             self.attempt(now, token, refusal, out);
         } else {
             self.conclude(token, Err(refusal), out);
@@ -432,22 +412,19 @@
     }
 
     fn may_retry(&mut self, now: Duration, token: Token) -> bool {
-        if !self.can_go_on(now, token) {
+        let Some(pending) = self.pending.get(&token) else {
+            return false;
+        };
+        if now >= pending.deadline {
             return false;
         }
-        let service = self.pending.get(&token).map(|p| &p.request.service);
-        let budget = service.and_then(|service| self.budgets.get_mut(service));
-        budget.is_some_and(bucket::RetryBudget::take)
-    }
-
-    /// Whether there is time left and a gate that was not tried.
-    fn can_go_on(&self, now: Duration, token: Token) -> bool {
-        self.pending.get(&token).is_some_and(|pending| {
-            now < pending.deadline
-                && self
-                    .pick(now, &pending.request.service, 0, &pending.tried)
-                    .is_some()
-        })
+        let service = pending.request.service.clone();
+        let tried = pending.tried.clone();
+        self.pick(now, &service, 0, &tried).is_some()
+            && self
+                .budgets
+                .get_mut(&service)
+                .is_some_and(bucket::RetryBudget::take)
     }
 
     fn lost(
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -267,9 +267,6 @@
         if count(ahead) >= document.limits.queue && !slots.admits(offer.depth, long) {
             return Err(Refusal::QueueFull);
         }
-        if !offer.may_wait && !slots.admits(offer.depth, long) {
-            return Err(Refusal::Busy);
-        }
         let mean = self.times.mean(&offer.route);
         let overall = self.times.overall();
         let wait = queue::expected_wait(&self.waiting, offer.depth, long, slots, overall);
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -131,7 +131,6 @@
         remaining: Duration::from_secs(1),
         once: true,
         fingerprint: 4,
-        may_wait: true,
     }
 }
 
