Split the files that had grown

Ruled out: splitting by size alone; the parts are gates, attempts, second attempts, admission, kept answers, carrying out of decisions, starting of processes.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -4,6 +4,9 @@
 //! to the target. A refusal is recorded as void before it is said. An id that
 //! is void, expired or bound to another incarnation is never started.
 
+mod admission;
+mod answers;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -210,27 +213,6 @@
         }
     }
 
-    fn offer(&mut self, now: Duration, offer: &call::Offer, out: &mut Vec<Output>) {
-        let id = offer.id;
-        if offer.incarnation != self.incarnation {
-            // An earlier incarnation may have run a copy of it.
-            out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
-            return;
-        }
-        match self.records.known(id) {
-            Known::Record(record) => Self::resend(id, record, offer.fingerprint, out),
-            Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
-            Known::New => match self.judge(now, offer) {
-                Err(refusal) => self.refuse(id, refusal, Some(offer.fingerprint), out),
-                Ok(waiting) => {
-                    self.records
-                        .set(id, State::Waiting, Some(offer.fingerprint));
-                    self.waiting.push(waiting);
-                }
-            },
-        }
-    }
-
     fn resend(id: id::CallId, record: records::Record, fingerprint: u64, out: &mut Vec<Output>) {
         if differs(record.fingerprint, fingerprint) {
             out.push(Output::Mismatch(id));
@@ -246,55 +228,6 @@
         out.push(Output::Reply(id, reply));
     }
 
-    fn judge(&self, now: Duration, offer: &call::Offer) -> Result<queue::Waiting, Refusal> {
-        if let Some(refusal) = self.refusal_now(now) {
-            return Err(refusal);
-        }
-        if self.target.as_ref().map(|t| &t.announcement.service) != Some(&offer.service) {
-            return Err(Refusal::WrongService);
-        }
-        let document = self.document.as_ref().ok_or(Refusal::NoDocument)?;
-        let route = document.route_named(&offer.route);
-        if !offer.once && route.is_some_and(|r| !r.repeatable) {
-            // Its entry would feel free to run it again elsewhere.
-            return Err(Refusal::StaleDocument);
-        }
-        let stated = route.map_or(service::Size::Learned, |r| r.size);
-        let long = self.times.is_long(&offer.route, stated);
-        let same_class = |w: &&queue::Waiting| (w.depth == 0) == (offer.depth == 0);
-        let ahead = self.waiting.iter().filter(same_class).count();
-        let slots = self.slots(now);
-        if count(ahead) >= document.limits.queue && !slots.admits(offer.depth, long) {
-            return Err(Refusal::QueueFull);
-        }
-        let mean = self.times.mean(&offer.route);
-        let overall = self.times.overall();
-        let wait = queue::expected_wait(&self.waiting, offer.depth, long, slots, overall);
-        if wait > offer.remaining || offer.remaining.is_zero() {
-            return Err(Refusal::Late);
-        }
-        Ok(queue::Waiting {
-            id: offer.id,
-            route: offer.route.clone(),
-            depth: offer.depth,
-            long,
-            once: offer.once,
-            arrived: now,
-            deadline: now + offer.remaining,
-            mean,
-        })
-    }
-
-    fn refusal_now(&self, now: Duration) -> Option<Refusal> {
-        let Some(target) = &self.target else {
-            return Some(Refusal::NoTarget);
-        };
-        if self.draining || target.announcement.draining {
-            return Some(Refusal::Draining);
-        }
-        (now > target.heard + ANNOUNCEMENT_TTL).then_some(Refusal::NoTarget)
-    }
-
     fn query(&mut self, query: call::Query, out: &mut Vec<Output>) {
         let id = query.id;
         if query.incarnation != self.incarnation {
@@ -379,56 +312,6 @@
         }
     }
 
-    fn settle(
-        &mut self,
-        now: Duration,
-        id: id::CallId,
-        once: bool,
-        bytes: u64,
-        out: &mut Vec<Output>,
-    ) {
-        self.records.set(id, State::Done { kept: once }, None);
-        if !once {
-            return;
-        }
-        out.push(Output::Keep(id));
-        self.kept.push_back((id, bytes, now));
-        self.kept_bytes += bytes;
-        while self.kept_bytes > ANSWERS_MAX_BYTES {
-            self.forget_oldest(out);
-        }
-    }
-
-    fn expire_answers(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self
-            .kept
-            .front()
-            .is_some_and(|(_, _, at)| *at + ANSWER_TTL < now)
-        {
-            self.forget_oldest(out);
-        }
-    }
-
-    fn forget_oldest(&mut self, out: &mut Vec<Output>) {
-        if let Some((id, bytes, _)) = self.kept.pop_front() {
-            self.kept_bytes -= bytes;
-            if matches!(self.records.known(id), Known::Record(_)) {
-                self.records.set(id, State::Done { kept: false }, None);
-            }
-            out.push(Output::Forget(id));
-        }
-    }
-
-    fn trim(&mut self, out: &mut Vec<Output>) {
-        for id in self.records.trim() {
-            if let Some(at) = self.kept.iter().position(|(kept, _, _)| *kept == id) {
-                let bytes = self.kept.remove(at).map_or(0, |(_, bytes, _)| bytes);
-                self.kept_bytes -= bytes;
-                out.push(Output::Forget(id));
-            }
-        }
-    }
-
     fn note_outcome(&mut self, failed: bool) {
         self.outcomes.push_back(failed);
         if self.outcomes.len() > OUTCOMES as usize {
@@ -448,32 +331,6 @@
         });
     }
 
-    fn open_slots(&self, now: Duration) -> u32 {
-        let Some(target) = &self.target else {
-            return 0;
-        };
-        let Announcement {
-            slots, cold_start, ..
-        } = target.announcement;
-        let age = now.saturating_sub(target.first_heard);
-        if age >= cold_start {
-            return slots;
-        }
-        let share = age.as_micros() * u128::from(slots) / cold_start.as_micros().max(1);
-        u32::try_from(share).unwrap_or(slots).max(1)
-    }
-
-    fn slots(&self, now: Duration) -> queue::Slots {
-        let limits = self.document.as_ref().map(|d| &d.limits);
-        queue::Slots {
-            open: self.open_slots(now),
-            running: count(self.running.len()),
-            running_long: count(self.running.values().filter(|r| r.long).count()),
-            short_reserved: limits.map_or(0, |l| l.short_reserved),
-            levels: limits.map_or(0, |l| l.depth_levels),
-        }
-    }
-
     fn refuse_waiting(&mut self, now: Duration, out: &mut Vec<Output>) {
         let leaving = self.refusal_now(now);
         let (late, staying) = std::mem::take(&mut self.waiting)
--- /dev/null
+++ b/crates/core/src/gate/admission.rs
@@ -0,0 +1,107 @@
+//! What a gate takes on: offers, and the slots that are open to them.
+
+use std::time::Duration;
+
+use super::{ANNOUNCEMENT_TTL, Announcement, Gate, Output, count};
+use crate::call::{self, Doubt, Refusal, Reply};
+use crate::queue;
+use crate::records::{Known, State};
+use crate::service;
+
+impl Gate {
+    pub(super) fn offer(&mut self, now: Duration, offer: &call::Offer, out: &mut Vec<Output>) {
+        let id = offer.id;
+        if offer.incarnation != self.incarnation {
+            // An earlier incarnation may have run a copy of it.
+            out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
+            return;
+        }
+        match self.records.known(id) {
+            Known::Record(record) => Self::resend(id, record, offer.fingerprint, out),
+            Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
+            Known::New => match self.judge(now, offer) {
+                Err(refusal) => self.refuse(id, refusal, Some(offer.fingerprint), out),
+                Ok(waiting) => {
+                    self.records
+                        .set(id, State::Waiting, Some(offer.fingerprint));
+                    self.waiting.push(waiting);
+                }
+            },
+        }
+    }
+
+    fn judge(&self, now: Duration, offer: &call::Offer) -> Result<queue::Waiting, Refusal> {
+        if let Some(refusal) = self.refusal_now(now) {
+            return Err(refusal);
+        }
+        if self.target.as_ref().map(|t| &t.announcement.service) != Some(&offer.service) {
+            return Err(Refusal::WrongService);
+        }
+        let document = self.document.as_ref().ok_or(Refusal::NoDocument)?;
+        let route = document.route_named(&offer.route);
+        if !offer.once && route.is_some_and(|r| !r.repeatable) {
+            // Its entry would feel free to run it again elsewhere.
+            return Err(Refusal::StaleDocument);
+        }
+        let stated = route.map_or(service::Size::Learned, |r| r.size);
+        let long = self.times.is_long(&offer.route, stated);
+        let same_class = |w: &&queue::Waiting| (w.depth == 0) == (offer.depth == 0);
+        let ahead = self.waiting.iter().filter(same_class).count();
+        let slots = self.slots(now);
+        if count(ahead) >= document.limits.queue && !slots.admits(offer.depth, long) {
+            return Err(Refusal::QueueFull);
+        }
+        let mean = self.times.mean(&offer.route);
+        let overall = self.times.overall();
+        let wait = queue::expected_wait(&self.waiting, offer.depth, long, slots, overall);
+        if wait > offer.remaining || offer.remaining.is_zero() {
+            return Err(Refusal::Late);
+        }
+        Ok(queue::Waiting {
+            id: offer.id,
+            route: offer.route.clone(),
+            depth: offer.depth,
+            long,
+            once: offer.once,
+            arrived: now,
+            deadline: now + offer.remaining,
+            mean,
+        })
+    }
+
+    pub(super) fn refusal_now(&self, now: Duration) -> Option<Refusal> {
+        let Some(target) = &self.target else {
+            return Some(Refusal::NoTarget);
+        };
+        if self.draining || target.announcement.draining {
+            return Some(Refusal::Draining);
+        }
+        (now > target.heard + ANNOUNCEMENT_TTL).then_some(Refusal::NoTarget)
+    }
+
+    pub(super) fn open_slots(&self, now: Duration) -> u32 {
+        let Some(target) = &self.target else {
+            return 0;
+        };
+        let Announcement {
+            slots, cold_start, ..
+        } = target.announcement;
+        let age = now.saturating_sub(target.first_heard);
+        if age >= cold_start {
+            return slots;
+        }
+        let share = age.as_micros() * u128::from(slots) / cold_start.as_micros().max(1);
+        u32::try_from(share).unwrap_or(slots).max(1)
+    }
+
+    pub(super) fn slots(&self, now: Duration) -> queue::Slots {
+        let limits = self.document.as_ref().map(|d| &d.limits);
+        queue::Slots {
+            open: self.open_slots(now),
+            running: count(self.running.len()),
+            running_long: count(self.running.values().filter(|r| r.long).count()),
+            short_reserved: limits.map_or(0, |l| l.short_reserved),
+            levels: limits.map_or(0, |l| l.depth_levels),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gates.rs
@@ -0,0 +1,139 @@
+//! What an entry knows of gates: who they are, their load, and which of them
+//! can not be reached at present.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::choice;
+use crate::entry::Member;
+use crate::hint;
+use crate::id;
+
+/// First pause before a gate that could not be reached is probed.
+pub const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause between two probes of such a gate.
+pub const PROBE_PAUSE_MAX: Duration = Duration::from_secs(16);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Gate {
+    member: Member,
+    load: choice::Load,
+    suspicion: Option<Suspicion>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Suspicion {
+    probe_at: Duration,
+    pause: Duration,
+}
+
+/// All gates that an entry knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Gates(BTreeMap<id::HostName, Gate>);
+
+impl Gates {
+    /// Known gates with their loads.
+    pub fn iter(&self) -> impl Iterator<Item = (&Member, &choice::Load)> {
+        self.0.values().map(|gate| (&gate.member, &gate.load))
+    }
+
+    /// Replaces the gates; what is known of an incarnation that stays is kept.
+    pub fn set(&mut self, members: Vec<Member>) {
+        let mut old = std::mem::take(&mut self.0);
+        for member in members {
+            let gate = match old.remove(&member.host) {
+                Some(gate) if gate.member.incarnation == member.incarnation => {
+                    Gate { member, ..gate }
+                }
+                _ => Gate {
+                    member,
+                    load: choice::Load::default(),
+                    suspicion: None,
+                },
+            };
+            self.0.insert(gate.member.host.clone(), gate);
+        }
+    }
+
+    /// Picks a gate of a service that serves and was not tried; one that can not
+    /// be reached only if there is no other.
+    #[must_use]
+    pub fn pick(
+        &self,
+        now: Duration,
+        service: &str,
+        draw: u64,
+        tried: &[id::HostName],
+    ) -> Option<&Member> {
+        let open = |gate: &&Gate| {
+            gate.member.service == service
+                && gate.member.serving
+                && !tried.contains(&gate.member.host)
+        };
+        let all: Vec<&Gate> = self.0.values().filter(open).collect();
+        let trusted: Vec<&Gate> = all
+            .iter()
+            .copied()
+            .filter(|g| g.suspicion.is_none())
+            .collect();
+        let among = if trusted.is_empty() { all } else { trusted };
+        let loads: Vec<choice::Load> = among.iter().map(|gate| gate.load).collect();
+        choice::pick(&loads, draw, now).map(|at| &among[at].member)
+    }
+
+    /// A call was offered to a gate.
+    pub fn offered(&mut self, host: &id::HostName) {
+        if let Some(gate) = self.0.get_mut(host) {
+            gate.load.outstanding += 1;
+            gate.load.offered_since += 1;
+        }
+    }
+
+    /// A call at a gate has ended or was given up.
+    pub fn closed(&mut self, host: &id::HostName) {
+        if let Some(gate) = self.0.get_mut(host) {
+            gate.load.outstanding = gate.load.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// A gate replied.
+    pub fn note(&mut self, now: Duration, host: &id::HostName, hint: hint::Hint) {
+        if let Some(gate) = self.0.get_mut(host) {
+            gate.load.report = Some((hint, now));
+            gate.load.offered_since = 0;
+            gate.member.serving &= !hint.leaving;
+            gate.suspicion = None;
+        }
+    }
+
+    /// A probe reached a gate.
+    pub fn trust(&mut self, host: &id::HostName) {
+        if let Some(gate) = self.0.get_mut(host) {
+            gate.suspicion = None;
+        }
+    }
+
+    /// A gate could not be reached.
+    pub fn suspect(&mut self, now: Duration, host: &id::HostName) {
+        if let Some(gate) = self.0.get_mut(host) {
+            gate.suspicion.get_or_insert(Suspicion {
+                probe_at: now + PROBE_PAUSE,
+                pause: PROBE_PAUSE,
+            });
+        }
+    }
+
+    /// Gates that are due for a probe; the next one comes later.
+    pub fn due(&mut self, now: Duration) -> Vec<id::HostName> {
+        let mut due = Vec::new();
+        for gate in self.0.values_mut() {
+            let Some(suspicion) = gate.suspicion.as_mut().filter(|s| s.probe_at <= now) else {
+                continue;
+            };
+            suspicion.pause = (suspicion.pause * 2).min(PROBE_PAUSE_MAX);
+            suspicion.probe_at = now + suspicion.pause;
+            due.push(gate.member.host.clone());
+        }
+        due
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod gate;
+pub mod gates;
 pub mod hint;
 pub mod id;
 pub mod membership;
--- a/crates/core/tests/scenarios/engine.rs
+++ b/crates/core/tests/scenarios/engine.rs
@@ -9,17 +9,16 @@
 use pollenrouter_core::hint::Hint;
 use pollenrouter_core::id::{CallId, Ticket};
 use pollenrouter_core::pause::Pauses;
-use pollenrouter_core::service::Audience;
-use pollenrouter_core::service::{Limits, Measuring, Route, Service, Size};
+use pollenrouter_core::service::Limits;
 
 use crate::links::{Links, Name};
+use crate::service::{SERVICE, service};
 
 const LATENCY: Duration = Duration::from_millis(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const SILENCE: Duration = Duration::from_millis(300);
 const CHECK: Duration = Duration::from_millis(100);
 const TICK: Duration = Duration::from_millis(10);
-pub const SERVICE: &str = "seats";
 
 #[allow(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
 pub struct Host {
@@ -457,29 +456,3 @@
         }
     }
 }
-
-pub fn service(limits: Limits) -> Service {
-    let route = |name: &str, repeatable, size| Route {
-        name: name.into(),
-        method: "POST".into(),
-        path: "/".into(),
-        repeatable,
-        owed: Duration::from_secs(1),
-        audience: Audience::Everyone,
-        size,
-    };
-    Service {
-        name: SERVICE.into(),
-        internal_callers: Vec::new(),
-        routes: vec![
-            route("assign", false, Size::Short),
-            route("list", true, Size::Short),
-            route("report", true, Size::Long),
-        ],
-        limits,
-        measuring: Measuring {
-            probes_per_minute: 0,
-            targets_max: 1,
-        },
-    }
-}
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod links;
 mod script;
+mod service;
 
 use std::path::PathBuf;
 
--- a/crates/core/tests/scenarios/script.rs
+++ b/crates/core/tests/scenarios/script.rs
@@ -9,7 +9,8 @@
 use pollenrouter_core::entry::Request;
 use pollenrouter_core::service::Limits;
 
-use crate::engine::{Engine, Press, SERVICE};
+use crate::engine::{Engine, Press};
+use crate::service::SERVICE;
 
 type Failure = Box<dyn Error>;
 
--- /dev/null
+++ b/crates/core/tests/scenarios/service.rs
@@ -0,0 +1,33 @@
+//! The service that all scenarios call.
+
+use std::time::Duration;
+
+use pollenrouter_core::service::{Audience, Limits, Measuring, Route, Service, Size};
+
+pub const SERVICE: &str = "seats";
+
+pub fn service(limits: Limits) -> Service {
+    let route = |name: &str, repeatable, size| Route {
+        name: name.into(),
+        method: "POST".into(),
+        path: "/".into(),
+        repeatable,
+        owed: Duration::from_secs(1),
+        audience: Audience::Everyone,
+        size,
+    };
+    Service {
+        name: SERVICE.into(),
+        internal_callers: Vec::new(),
+        routes: vec![
+            route("assign", false, Size::Short),
+            route("list", true, Size::Short),
+            route("report", true, Size::Long),
+        ],
+        limits,
+        measuring: Measuring {
+            probes_per_minute: 0,
+            targets_max: 1,
+        },
+    }
+}
--- a/crates/dev/src/capacity.rs
+++ b/crates/dev/src/capacity.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use pollenrouter_dev::bare::Bare;
 use pollenrouter_dev::caller::{self, Call, Told};
-use pollenrouter_dev::deployment::{self, Bare, Deployment};
+use pollenrouter_dev::deployment::{self, Deployment};
 use pollenrouter_dev::error::Error;
 use pollenrouter_http::client;
 use serde_json::json;
--- a/crates/dev/src/deployment.rs
+++ b/crates/dev/src/deployment.rs
@@ -9,14 +9,13 @@
 use std::time::{Duration, Instant};
 
 use pollenrouter_daemon::keys;
-use pollenrouter_platform::client::{Client, PlatformError};
-use pollenrouter_platform::object;
 use serde::Deserialize;
 use tempfile::TempDir;
 
 use crate::error::Error;
 use crate::platform;
-use crate::process::{Output, Process};
+use crate::process::Process;
+use crate::start;
 use crate::target;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -92,80 +91,6 @@
     pub hosts: Vec<Host>,
 }
 
-/// Daemons without targets, for measuring what they spend by themselves.
-pub struct Bare {
-    /// Folder for settings.
-    pub folder: TempDir,
-    /// The platform stand-in.
-    pub platform: Process,
-    /// Its address.
-    pub platform_address: SocketAddr,
-    /// Daemons with their addresses.
-    pub daemons: Vec<(Process, Addresses)>,
-    /// Documents by service, as they were written at the start.
-    pub documents: Vec<(String, String)>,
-}
-
-impl Bare {
-    /// Starts so many daemons in four failure domains.
-    ///
-    /// # Errors
-    /// A process can not be started.
-    pub fn start(count: usize, documents: &[(String, String)]) -> Result<Self, Error> {
-        let folder = TempDir::new()?;
-        let (platform, platform_address) = start_platform()?;
-        let mut bare = Self {
-            folder,
-            platform,
-            platform_address,
-            daemons: Vec::new(),
-            documents: documents.to_vec(),
-        };
-        for (name, text) in documents {
-            bare.write(name, text)?;
-        }
-        let keys = keys::generate(count)
-            .map_err(|err| Error::Process("keys".to_owned(), err.to_string()))?;
-        for (nth, keys) in keys.iter().enumerate() {
-            let name = format!("host-{nth}");
-            let domain = format!("domain-{}", nth % 4);
-            let settings = bare.folder.path().join(format!("{name}.yaml"));
-            fs::write(
-                &settings,
-                settings_text(&name, &domain, platform_address, keys),
-            )?;
-            bare.daemons.push(start_daemon(&name, &settings)?);
-        }
-        Ok(bare)
-    }
-
-    /// Writes a document past the command line; returns its version.
-    ///
-    /// # Errors
-    /// The platform does not take it.
-    pub fn write(&self, service: &str, text: &str) -> Result<u64, Error> {
-        let client = Client::new(&format!("http://{}", self.platform_address));
-        let key = object::service_key(service);
-        let failed = |err: PlatformError| Error::Http(key.to_string(), err.to_string());
-        let version = client
-            .get(&key)
-            .map_err(failed)?
-            .map_or(0, |held| held.version);
-        let document = serde_json::json!({ "text": text, "changes": [] });
-        client
-            .put(&key, &document.to_string(), version)
-            .map_err(failed)
-    }
-
-    /// Calls that the platform has counted.
-    ///
-    /// # Errors
-    /// The platform does not reply.
-    pub fn platform_counts(&self) -> Result<serde_json::Value, Error> {
-        get(self.platform_address, "/counts")
-    }
-}
-
 /// The Wartebank deployment: 3 services with 4 targets each.
 #[must_use]
 pub fn wartebank(examples: &Path) -> Plan {
@@ -193,7 +118,7 @@
     /// A process can not be started or the deployment does not come up.
     pub fn start(plan: &Plan) -> Result<Self, Error> {
         let folder = TempDir::new()?;
-        let (platform, platform_address) = start_platform()?;
+        let (platform, platform_address) = start::platform()?;
         let mut deployment = Self {
             folder,
             platform,
@@ -221,10 +146,13 @@
             let name = format!("{}-{nth}", service.name);
             let settings = self.folder.path().join(format!("{name}.yaml"));
             let platform = self.platform_address;
-            fs::write(&settings, settings_text(&name, domain, platform, keys))?;
-            let (daemon, addresses) = start_daemon(&name, &settings)?;
+            fs::write(
+                &settings,
+                start::settings_text(&name, domain, platform, keys),
+            )?;
+            let (daemon, addresses) = start::daemon(&name, &settings)?;
             let ledger = self.folder.path().join(format!("{name}.ledger"));
-            let (target, target_address) = start_target(&name, service, &addresses, &ledger, nth)?;
+            let (target, target_address) = start::target(&name, service, &addresses, &ledger, nth)?;
             self.hosts.push(Host {
                 name,
                 service: service.name,
@@ -314,7 +242,7 @@
     /// # Errors
     /// The daemon or the target does not reply.
     pub fn restart_daemon(&mut self) -> Result<(), Error> {
-        let (daemon, addresses) = start_daemon(&self.name, &self.settings)?;
+        let (daemon, addresses) = start::daemon(&self.name, &self.settings)?;
         self.daemon = Some(daemon);
         self.addresses = addresses;
         let control = target::Control {
@@ -378,79 +306,3 @@
     sent.map(drop)
         .map_err(|err| Error::Http(uri, err.to_string()))
 }
-
-fn start_platform() -> Result<(Process, SocketAddr), Error> {
-    let args = ["platform".to_owned()];
-    let process = Process::start("platform", &binary("pollenrouter-dev")?, &args, Output::Out)?;
-    let address = process.expect(|line| line.parse().ok())?;
-    Ok((process, address))
-}
-
-fn start_daemon(name: &str, settings: &Path) -> Result<(Process, Addresses), Error> {
-    let args = [
-        "run".to_owned(),
-        "--settings".to_owned(),
-        settings.display().to_string(),
-    ];
-    let process = Process::start(name, &binary("pollenrouter")?, &args, Output::Error)?;
-    let addresses = process.expect(|line| serde_json::from_str(line).ok())?;
-    Ok((process, addresses))
-}
-
-fn start_target(
-    name: &str,
-    service: &ServicePlan,
-    daemon: &Addresses,
-    ledger: &Path,
-    seed: usize,
-) -> Result<(Process, SocketAddr), Error> {
-    let fields = [
-        ("--service", service.name.to_owned()),
-        ("--daemon", daemon.announcements.to_string()),
-        ("--internal", daemon.internal.to_string()),
-        ("--slots", service.slots.to_string()),
-        ("--work-us", service.work_us.to_string()),
-        ("--stragglers", service.stragglers.to_string()),
-        ("--ledger", ledger.display().to_string()),
-        ("--seed", seed.to_string()),
-    ];
-    let mut args = vec!["target".to_owned()];
-    args.extend(
-        fields
-            .into_iter()
-            .flat_map(|(flag, value)| [flag.to_owned(), value]),
-    );
-    let name = format!("target {name}");
-    let process = Process::start(&name, &binary("pollenrouter-dev")?, &args, Output::Out)?;
-    let address = process.expect(|line| line.parse().ok())?;
-    Ok((process, address))
-}
-
-fn settings_text(name: &str, domain: &str, platform: SocketAddr, keys: &keys::Keys) -> String {
-    let block = |pem: &str| {
-        let lines: Vec<String> = pem.lines().map(|line| format!("    {line}")).collect();
-        lines.join("\n")
-    };
-    format!(
-        "host: {name}
-failure_domain: {domain}
-platform: http://{platform}
-listen:
-  public: 127.0.0.1:0
-  internal: 127.0.0.1:0
-  target: 127.0.0.1:0
-  operator: 127.0.0.1:0
-  daemons: 127.0.0.1:0
-keys:
-  authority: |
-{}
-  certificate: |
-{}
-  key: |
-{}
-",
-        block(&keys.authority),
-        block(&keys.certificate),
-        block(&keys.key)
-    )
-}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -1,17 +1,17 @@
 //! Calls in progress: the entry and the gate with the bodies they decide on.
 
+mod outputs;
+
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use log::{debug, warn};
 use pollenrouter_caller::message::{Call, Ending, EndingKind};
 use pollenrouter_core::call::{self, Doubt, Refusal, Reply};
-use pollenrouter_core::entry::{self, Sent, Verdict};
-use pollenrouter_core::{exchange, gate, hint, id, pause, service};
+use pollenrouter_core::entry::{self, Sent};
+use pollenrouter_core::{exchange, gate, id, pause, service};
 use pollenrouter_daemon::message::{Answer, Command, Peer, Replied, ReplyTo, Request};
 use pollenrouter_target::message as target;
-use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::instruments::Instruments;
@@ -305,93 +305,6 @@
         }
     }
 
-    fn entry_output(&mut self, now: Duration, output: entry::Output) {
-        match output {
-            entry::Output::Offer(host, token, offer) => self.send_offer(host, token, offer),
-            entry::Output::Query(host, query) if host == self.host => {
-                self.wait(query.id, Waiter::Entry);
-                self.steps.push_back(Step::Gate(gate::Input::Query(query)));
-            }
-            entry::Output::Query(host, query) => {
-                self.send(&host, |peer| Command::Query(peer, query));
-            }
-            entry::Output::Withdraw(host, query) if host == self.host => {
-                self.steps
-                    .push_back(Step::Gate(gate::Input::Withdraw(query)));
-            }
-            entry::Output::Withdraw(host, query) => {
-                self.send(&host, |peer| Command::Withdraw(peer, query));
-            }
-            entry::Output::Probe(host) => {
-                self.send(&host, Command::Probe);
-            }
-            entry::Output::Done(token, verdict, ticket) => self.done(now, token, verdict, ticket),
-        }
-    }
-
-    fn send_offer(&mut self, host: id::HostName, token: entry::Token, offer: call::Offer) {
-        let Some(request) = self
-            .callers
-            .get(&token)
-            .map(|caller| caller.request.clone())
-        else {
-            return;
-        };
-        if host == self.host {
-            self.hold(&offer, request, Waiter::Entry);
-            self.steps.push_back(Step::Gate(gate::Input::Offer(offer)));
-            return;
-        }
-        let id = offer.id;
-        if !self.send(&host, |peer| Command::Offer(peer, offer, request)) {
-            let lost = entry::Input::Lost(host, id, Sent::Nothing);
-            self.steps.push_back(Step::Entry(lost));
-        }
-    }
-
-    fn send(&self, host: &id::HostName, command: impl FnOnce(Peer) -> Command) -> bool {
-        let Some(peer) = self.peers.get(host) else {
-            return false;
-        };
-        self.rings.daemons.try_send(command(peer.clone())).is_ok()
-    }
-
-    fn done(
-        &mut self,
-        now: Duration,
-        token: entry::Token,
-        verdict: Verdict,
-        ticket: Option<id::Ticket>,
-    ) {
-        let Some(caller) = self.callers.remove(&token) else {
-            return;
-        };
-        let (kind, outcome, reason) = match verdict {
-            Verdict::Answer(_) => match self.arrived.clone() {
-                Some(answer) => (
-                    EndingKind::Answer(answer.head, answer.body),
-                    "answered",
-                    SmolStr::default(),
-                ),
-                None => unknown(Doubt::AnswerNotKept),
-            },
-            Verdict::NotRun(refusal) => (
-                EndingKind::NotRun(refusal),
-                "not-run",
-                refusal.to_string().into(),
-            ),
-            Verdict::Unknown(doubt) => unknown(doubt),
-        };
-        if !reason.is_empty() {
-            debug!(service:% = caller.service, outcome; "call failed: {reason}");
-        }
-        let took = now.saturating_sub(caller.begun);
-        self.instruments
-            .ended(&caller.service, outcome, &reason, took);
-        // The caller may have left.
-        let _ = caller.reply_to.send(Ending { kind, ticket });
-    }
-
     fn hold(&mut self, offer: &call::Offer, request: Request, waiter: Waiter) {
         let depth = offer.depth;
         self.held.entry(offer.id).or_insert(Held { request, depth });
@@ -401,100 +314,4 @@
     fn wait(&mut self, id: id::CallId, waiter: Waiter) {
         self.waiters.entry(id).or_default().push(waiter);
     }
-
-    fn gate_output(&mut self, now: Duration, output: &gate::Output) {
-        match *output {
-            gate::Output::Start { id, deadline } => self.start(id, deadline),
-            gate::Output::Cancel(id) => {
-                // A call that is not cancelled only runs to its end.
-                let _ = self.rings.target.try_send(target::Command::Cancel(id));
-            }
-            gate::Output::Reply(id, reply) => self.reply(now, id, reply),
-            gate::Output::Mismatch(id) => {
-                let latest = self.waiters.get_mut(&id).and_then(Vec::pop);
-                let reply = Reply::NotRun(Refusal::WrongRequest);
-                self.reply_to(id, latest, reply, self.gate.hint(now));
-            }
-            gate::Output::Keep(id) => self.keep(id),
-            gate::Output::Forget(id) => {
-                self.kept.remove(&id);
-                self.answers.remove(&id);
-            }
-        }
-    }
-
-    /// Keeps an answer in a buffer of its own size; the one that it was read into
-    /// is much larger.
-    fn keep(&mut self, id: id::CallId) {
-        if let Some(answer) = self.answers.get_mut(&id) {
-            answer.body = Bytes::copy_from_slice(&answer.body);
-            self.kept.insert(id);
-        }
-    }
-
-    fn start(&mut self, id: id::CallId, deadline: Duration) {
-        let Some(held) = self.held.remove(&id) else {
-            warn!("call without a request");
-            return;
-        };
-        let run = target::Run {
-            id,
-            head: held.request.head,
-            body: held.request.body,
-            deadline: self.origin + deadline,
-            depth: held.depth,
-            answer_bytes: self.answer_bytes,
-        };
-        if self
-            .rings
-            .target
-            .try_send(target::Command::Run(run))
-            .is_err()
-        {
-            let outcome = gate::Outcome::NotStarted(Refusal::Overloaded);
-            let finished = gate::Input::Finished(id, outcome);
-            self.steps.push_back(Step::Gate(finished));
-        }
-    }
-
-    fn reply(&mut self, now: Duration, id: id::CallId, reply: Reply) {
-        self.held.remove(&id);
-        let hint = self.gate.hint(now);
-        for waiter in self.waiters.remove(&id).unwrap_or_default() {
-            self.reply_to(id, Some(waiter), reply, hint);
-        }
-    }
-
-    fn reply_to(&mut self, id: id::CallId, waiter: Option<Waiter>, reply: Reply, hint: hint::Hint) {
-        let answer = self.answers.get(&id).filter(|_| reply == Reply::Answer);
-        match waiter {
-            None => {}
-            Some(Waiter::Entry) => {
-                self.arrived = answer.cloned();
-                let input = entry::Input::Reply(self.host.clone(), id, reply, hint);
-                let now = self.now();
-                for output in self.entry.step(now, input) {
-                    self.entry_output(now, output);
-                }
-                self.arrived = None;
-            }
-            Some(Waiter::Daemon(reply_to)) => {
-                let replied = Replied {
-                    reply,
-                    hint,
-                    answer: answer.cloned(),
-                };
-                // The entry may have given the stream up.
-                let _ = reply_to.send(replied);
-            }
-        }
-    }
-}
-
-fn unknown(doubt: Doubt) -> (EndingKind, &'static str, SmolStr) {
-    (
-        EndingKind::Unknown(doubt),
-        "unknown",
-        doubt.to_string().into(),
-    )
 }
