--- a/crates/dev/src/caller.rs
+++ b/crates/dev/src/caller.rs
@@ -39,6 +39,24 @@
     pub chain: u32,
 }
 
+impl Call {
+    /// A call without work, body, ticket or deadline.
+    #[must_use]
+    pub fn plain(method: &'static str, path: &str, request: &str) -> Self {
+        Self {
+            request: request.into(),
+            method,
+            path: path.into(),
+            body: Bytes::new(),
+            work: Some(Duration::ZERO),
+            answer_bytes: 100,
+            ticket: None,
+            deadline: None,
+            chain: 0,
+        }
+    }
+}
+
 /// What a caller was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
--- a/crates/dev/src/capacity.rs
+++ b/crates/dev/src/capacity.rs
@@ -8,7 +8,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use pollenrouter_dev::bare::Bare;
 use pollenrouter_dev::caller::{self, Call, Told};
 use pollenrouter_dev::deployment::{self, Deployment};
@@ -295,9 +294,9 @@
         for nth in 0..count {
             time::sleep_until(begun + Duration::from_secs_f64(nth as f64 / rate as f64)).await;
             let client = client.clone();
-            open.spawn_local(
-                async move { caller::call(&client, &simple(nth, method, path)).await },
-            );
+            open.spawn_local(async move {
+                caller::call(&client, &Call::plain(method, path, &format!("s{nth}"))).await
+            });
             while let Some(Ok(ended)) = open.try_join_next() {
                 answered += usize::from(matches!(ended.told, Told::Answered { .. }));
             }
@@ -309,17 +308,3 @@
     };
     Ok(task::LocalSet::new().block_on(&runtime, work))
 }
-
-fn simple(nth: usize, method: &'static str, path: &'static str) -> Call {
-    Call {
-        request: format!("s{nth}").into(),
-        method,
-        path: path.into(),
-        body: Bytes::new(),
-        work: Some(Duration::ZERO),
-        answer_bytes: 100,
-        ticket: None,
-        deadline: None,
-        chain: 0,
-    }
-}
