Made-up tickets can not expire those of an entry; requests are let go

Cause, found on reading: a caller could send a ticket with the highest number; once its record was let go, every later id of that entry was below the low-water mark and "unknown" at that gate. A resend with another request left its body in memory. And a call that may repeat named a ticket in its failure, with which a resend could only hear that the answer is not kept.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -29,6 +29,8 @@
     pub once: bool,
     /// Digest of method, path and body; a ticket stays with one request.
     pub fingerprint: u64,
+    /// Whether the sender itself issued the id; else it came in a caller's ticket.
+    pub vouched: bool,
 }
 
 /// Asks a gate to reply for a call that it may know, or to void its id.
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -344,7 +344,9 @@
         let Some(pending) = self.pending.remove(&token) else {
             return;
         };
-        let ticket = pending.attempt.map(|attempt| id::Ticket {
+        // A call that may repeat is sent again without one.
+        let once = pending.request.once;
+        let ticket = pending.attempt.filter(|_| once).map(|attempt| id::Ticket {
             service: pending.request.service,
             host: attempt.host,
             incarnation: attempt.about.incarnation,
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -64,6 +64,7 @@
             remaining: pending.deadline.saturating_sub(now),
             once: request.once,
             fingerprint: request.fingerprint,
+            vouched: request.ticket.is_none(),
         };
         pending.tried.push(host.clone());
         pending.attempt = Some(Attempt {
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -183,6 +183,12 @@
         self.waiting.is_empty() && self.running.is_empty()
     }
 
+    /// Whether a call waits.
+    #[must_use]
+    pub fn is_waiting(&self, id: id::CallId) -> bool {
+        self.waiting.iter().any(|w| w.id == id)
+    }
+
     /// Number of ids remembered.
     #[must_use]
     pub fn remembered(&self) -> usize {
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -16,6 +16,9 @@
             out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
             return;
         }
+        if offer.vouched {
+            self.records.vouch(id);
+        }
         match self.records.known(id) {
             Known::Record(record) => Self::resend(id, record, offer.fingerprint, out),
             Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,8 +1,13 @@
 //! What a gate remembers of the ids it has seen.
 //!
-//! An id is in one of four states or unseen. Settled records are let go in the
-//! order they settled; letting one go raises the low-water mark of its entry,
-//! and an unseen id at or below the mark is refused, never started.
+//! Settled records are let go in the order they settled; letting one go raises
+//! the low-water mark of its entry, and an unseen id at or below the mark is
+//! refused, never started.
+//!
+//! A caller could make up a ticket with a high number, whose letting go would
+//! put all later ids of the entry below the mark. So only ids up to the highest
+//! one that the entry itself has offered here are let go; those above it, which
+//! came in tickets that callers sent, are kept, and there is room for a few.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -49,9 +54,14 @@
     Expired,
 }
 
+/// Records above what their entry has vouched for.
+const UNVOUCHED_MAX: usize = 4096;
+
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Issued {
     low_water: u64,
+    /// Highest id that the entry itself has offered.
+    vouched: u64,
     calls: BTreeMap<(u64, u64), Record>,
 }
 
@@ -60,6 +70,7 @@
 pub struct Records {
     capacity: usize,
     len: usize,
+    unvouched: usize,
     entries: BTreeMap<id::Incarnation, Issued>,
     settled: VecDeque<id::CallId>,
 }
@@ -71,6 +82,7 @@
         Self {
             capacity,
             len: 0,
+            unvouched: 0,
             entries: BTreeMap::new(),
             settled: VecDeque::new(),
         }
@@ -92,23 +104,39 @@
     #[must_use]
     pub fn known(&self, id: id::CallId) -> Known {
         let Some(issued) = self.entries.get(&id.entry) else {
-            return self.unknown_entry();
+            return self.known_if(self.entries.len() < self.capacity);
         };
         match issued.calls.get(&(id.seq, id.nonce)) {
             Some(record) => Known::Record(*record),
             None if id.seq <= issued.low_water => Known::Expired,
-            None => Known::New,
+            None if id.seq <= issued.vouched => Known::New,
+            None => self.known_if(true),
         }
     }
 
-    fn unknown_entry(&self) -> Known {
-        if self.entries.len() < self.capacity {
+    /// An id that its entry has not vouched for is new if there is room.
+    fn known_if(&self, has_room: bool) -> Known {
+        if has_room && self.unvouched < UNVOUCHED_MAX {
             Known::New
         } else {
             Known::Expired
         }
     }
 
+    /// Notes that an entry itself has offered an id.
+    pub fn vouch(&mut self, id: id::CallId) {
+        if !self.entries.contains_key(&id.entry) && self.entries.len() >= self.capacity {
+            return;
+        }
+        let issued = self.entries.entry(id.entry).or_default();
+        if id.seq <= issued.vouched {
+            return;
+        }
+        let above = (issued.vouched + 1, 0)..=(id.seq, u64::MAX);
+        self.unvouched -= issued.calls.range(above).count();
+        issued.vouched = id.seq;
+    }
+
     /// Sets the state of an id; a first fingerprint stays.
     pub fn set(&mut self, id: id::CallId, state: State, fingerprint: Option<u64>) {
         let issued = self.entries.entry(id.entry).or_default();
@@ -118,6 +146,7 @@
         issued.calls.insert(key, Record { state, fingerprint });
         if earlier.is_none() {
             self.len += 1;
+            self.unvouched += usize::from(id.seq > issued.vouched);
         }
         let was_settled = earlier.is_some_and(|r| is_settled(r.state));
         if is_settled(state) && !was_settled {
@@ -125,27 +154,39 @@
         }
     }
 
-    /// Lets the oldest settled records go while there are too many; returns them.
+    /// Lets the oldest settled records go while there are too many; returns
+    /// those whose answers were kept.
     pub fn trim(&mut self) -> Vec<id::CallId> {
-        let mut gone = Vec::new();
-        while self.len > self.capacity {
+        let mut kept = Vec::new();
+        for _ in 0..self.settled.len() {
+            if self.len <= self.capacity {
+                break;
+            }
             let Some(id) = self.settled.pop_front() else {
                 break;
             };
-            self.forget(id);
-            gone.push(id);
+            if self.is_vouched(id) {
+                let had_answer = self.forget(id) == Some(State::Done { kept: true });
+                kept.extend(had_answer.then_some(id));
+            } else {
+                self.settled.push_back(id);
+            }
         }
-        gone
+        kept
     }
 
-    fn forget(&mut self, id: id::CallId) {
-        let Some(issued) = self.entries.get_mut(&id.entry) else {
-            return;
-        };
-        if issued.calls.remove(&(id.seq, id.nonce)).is_some() {
-            self.len -= 1;
-        }
+    fn is_vouched(&self, id: id::CallId) -> bool {
+        self.entries
+            .get(&id.entry)
+            .is_some_and(|issued| id.seq <= issued.vouched)
+    }
+
+    fn forget(&mut self, id: id::CallId) -> Option<State> {
+        let issued = self.entries.get_mut(&id.entry)?;
         issued.low_water = issued.low_water.max(id.seq);
+        let record = issued.calls.remove(&(id.seq, id.nonce))?;
+        self.len -= 1;
+        Some(record.state)
     }
 }
 
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -150,6 +150,7 @@
         remaining: Duration::from_secs(1),
         once: true,
         fingerprint: 4,
+        vouched: true,
     }
 }
 
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -296,15 +296,25 @@
                         self.entry_output(now, output);
                     }
                 }
-                Step::Gate(input) => {
-                    for output in self.gate.step(now, input) {
-                        self.gate_output(now, &output);
-                    }
-                }
+                Step::Gate(input) => self.gate_step(now, input),
             }
         }
     }
 
+    fn gate_step(&mut self, now: Duration, input: gate::Input) {
+        let offered = match &input {
+            gate::Input::Offer(offer) => Some(offer.id),
+            _ => None,
+        };
+        for output in self.gate.step(now, input) {
+            self.gate_output(now, &output);
+        }
+        // A resend brings a request that is not needed again.
+        if let Some(id) = offered.filter(|id| !self.gate.is_waiting(*id)) {
+            self.held.remove(&id);
+        }
+    }
+
     fn hold(&mut self, offer: &call::Offer, request: Request, waiter: Waiter) {
         let depth = offer.depth;
         self.held.entry(offer.id).or_insert(Held { request, depth });
