Scenarios for slow and failing targets; probes counted at targets

Cause: docs/PROOFS.md listed targets that slow down or fail fast, and the budget at the targets themselves, as not proved.

--- a/crates/core/tests/scenarios/engine.rs
+++ b/crates/core/tests/scenarios/engine.rs
@@ -31,6 +31,8 @@
     pub hears: bool,
     pub announces: bool,
     pub draining: bool,
+    /// Whether its target answers with server errors.
+    pub fails: bool,
     pub slots: u32,
     pub work: Duration,
     pub limits: Limits,
@@ -103,6 +105,7 @@
             hears: true,
             announces: true,
             draining: false,
+            fails: false,
             slots,
             work,
             limits: limits.clone(),
@@ -265,7 +268,7 @@
                 if self.hosts[&at].incarnation == incarnation && self.hosts[&at].alive {
                     let answered = Outcome::Answered {
                         bytes: 0,
-                        failed: false,
+                        failed: self.hosts[&at].fails,
                     };
                     self.finish(&at, id, answered);
                 }
--- a/crates/core/tests/scenarios/script.rs
+++ b/crates/core/tests/scenarios/script.rs
@@ -155,6 +155,7 @@
             "freeze" => host.frozen = true,
             "deaf" => host.hears = false,
             "drain-target" => host.draining = true,
+            "fail" => host.fails = true,
             "silent-target" => host.announces = false,
             "work" => host.work = duration(word(args)?)?,
             "kill" => engine.kill(&name),
--- a/crates/dev/src/target.rs
+++ b/crates/dev/src/target.rs
@@ -30,6 +30,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
 const CALL: &str = "pollenrouter-call";
+const PROBE: &str = "pollenrouter-probe";
 const DEPTH: &str = "pollenrouter-depth";
 const DEADLINE: &str = "pollenrouter-deadline-ms";
 /// Header by which a caller of the tools asks for calls from target to target:
@@ -116,6 +117,7 @@
     profile: Profile,
     control: RefCell<Control>,
     running: RefCell<u32>,
+    probes: RefCell<u64>,
     cancels: RefCell<BTreeMap<SmolStr, Rc<Notify>>>,
     ledger: RefCell<Ledger>,
     rng: RefCell<SmallRng>,
@@ -142,6 +144,7 @@
     let target = Rc::new(Target {
         control: RefCell::new(control),
         running: RefCell::new(0),
+        probes: RefCell::new(0),
         cancels: RefCell::default(),
         ledger: RefCell::new(Ledger::open(profile.ledger.as_deref())?),
         rng: RefCell::new(SmallRng::seed_from_u64(profile.seed)),
@@ -219,11 +222,18 @@
     async fn handle(&self, req: Request<Incoming>) -> Answer {
         match req.uri().path() {
             "/.target/health" => {
+                if req.headers().contains_key(PROBE) {
+                    *self.probes.borrow_mut() += 1;
+                }
+                let probes = *self.probes.borrow();
                 let control = self.control.borrow().clone();
                 let counted = *self.running.borrow();
                 time::sleep(Duration::from_millis(control.health_lag_ms)).await;
                 let running = control.claimed_running.unwrap_or(counted);
-                problem::json(StatusCode::OK, &json!({ "running": running }))
+                problem::json(
+                    StatusCode::OK,
+                    &json!({ "running": running, "probes": probes }),
+                )
             }
             "/.target/control" => self.set(req).await,
             path => match path.strip_prefix("/.target/cancel/") {
--- a/crates/dev/tests/operator.rs
+++ b/crates/dev/tests/operator.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::process::Command;
+use std::time::Instant;
 
 use pollenrouter_dev::caller::{self, Call};
 use pollenrouter_dev::deployment::{self, Deployment};
@@ -25,6 +26,49 @@
         .expect("metrics must be text")
 }
 
+/// Probes that all targets have counted.
+fn probes(deployment: &Deployment) -> u64 {
+    let counted = deployment.hosts.iter().map(|host| {
+        let health = deployment::get(host.target_address, "/.target/health");
+        health.expect("target must reply")["probes"]
+            .as_u64()
+            .unwrap_or(0)
+    });
+    counted.sum()
+}
+
+#[test]
+fn probes_at_all_targets_stay_within_the_budget_through_restarts() {
+    const PER_MINUTE: u64 = 120;
+    let begun = Instant::now();
+    let mut plan = support::plan(3, 0);
+    plan.services.truncate(1);
+    let mut deployment = Deployment::start(&plan).expect("deployment must start");
+    let budget = "probes_per_minute: 120\n  targets_max: 2";
+    let from = "probes_per_minute: 24\n  targets_max: 8";
+    support::apply_edited(&deployment, "board", from, budget);
+    for _ in 0..2 {
+        support::until("a probe comes", || probes(&deployment) > 0);
+        let mut daemon = deployment.hosts[0].daemon.take().expect("daemon must run");
+        daemon.kill().expect("daemon must end");
+        deployment.hosts[0]
+            .restart_daemon()
+            .expect("daemon must restart");
+        deployment
+            .wait_ready(3, 1)
+            .expect("deployment must be ready");
+    }
+    let before = probes(&deployment);
+    support::until("probes go on", || probes(&deployment) > before + 3);
+    let counted = probes(&deployment);
+    // A slow machine only makes the time longer.
+    let allowed = PER_MINUTE * u64::try_from(begun.elapsed().as_millis()).unwrap_or(0) / 60_000;
+    assert!(
+        counted <= allowed + 1,
+        "{counted} probes where {allowed} are allowed"
+    );
+}
+
 #[test]
 fn status_and_metrics_tell_what_happened() {
     let deployment = Deployment::start(&support::plan(1, 0)).expect("deployment must start");
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -18,6 +18,8 @@
 
 /// Header that a target sets on 503 when it refused a call before it began.
 pub const SHED: &str = "target-shed";
+/// Header that tells a probe from other requests.
+pub const PROBE: &str = "pollenrouter-probe";
 const CALL: &str = "pollenrouter-call";
 const DEADLINE: &str = "pollenrouter-deadline-ms";
 const DEPTH: &str = "pollenrouter-depth";
@@ -141,6 +143,7 @@
             .method(method)
             .uri(path)
             .header(HOST, client.address().to_string())
+            .header(PROBE, "1")
             .body(Full::new(Bytes::new()));
         let Ok(request) = request else {
             return false;
