A resend with a ticket is never called not-run by an entry that did not ask

Cause: mixed.rs failed in one run of about ten: 1 of 613 calls was told not-run and stood in a ledger. A resend whose ticket had run reached an entry that had no documents yet, which said not-run by itself; and the tool took a refused connection of such a resend for not-run. Which of the two it was in that run is not known: the test did not print the call; it does now. Ruled out, by reading: the gate (a record that ran never gives not-run), withdrawals, shed calls (the ledger has them apart). Mended: what goes no further than an entry is unknown when it carries a ticket.

--- a/crates/caller/src/ending.rs
+++ b/crates/caller/src/ending.rs
@@ -50,6 +50,21 @@
     answer
 }
 
+/// The answer to a request that went no further than this listener. With a ticket
+/// an earlier try may have run, so "not run" would not be true.
+#[must_use]
+pub fn turned_away(
+    mut answer: Response<Full<Bytes>>,
+    ticket: Option<&id::Ticket>,
+) -> Response<Full<Bytes>> {
+    if let Some(ticket) = ticket {
+        let detail = Doubt::NotAsked.to_string();
+        answer = problem::answer(answer.status(), CallOutcome::Unknown, &detail);
+        name_ticket(&mut answer, ticket);
+    }
+    answer
+}
+
 /// The answer to a request whose head can not be taken.
 #[must_use]
 pub fn malformed(err: &request::RequestError) -> Response<Full<Bytes>> {
@@ -75,6 +90,7 @@
 fn doubtful(doubt: Doubt) -> Response<Full<Bytes>> {
     let status = match doubt {
         Doubt::Silent => StatusCode::GATEWAY_TIMEOUT,
+        Doubt::NotAsked => StatusCode::SERVICE_UNAVAILABLE,
         Doubt::AnswerNotKept | Doubt::TicketExpired => StatusCode::GONE,
         Doubt::GateGone | Doubt::TargetLost | Doubt::EarlierAttempt => StatusCode::BAD_GATEWAY,
     };
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -81,20 +81,37 @@
     }
     let parsed = match request::parse(&req) {
         Ok(parsed) => parsed,
-        Err(err) => return ending::malformed(&err),
+        Err(err) => {
+            let ticket = request::ticket(req.headers()).ok().flatten();
+            return ending::turned_away(ending::malformed(&err), ticket.as_ref());
+        }
     };
+    let ticket = parsed.ticket.clone();
+    match take(cx, audience, parsed, req).await {
+        Ok(answer) => answer,
+        Err(refused) => ending::turned_away(refused, ticket.as_ref()),
+    }
+}
+
+/// Takes a request in; an error went no further than this listener.
+async fn take(
+    cx: &Context,
+    audience: service::Audience,
+    parsed: request::Parsed,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let limit = match (cx.body_limit)(&parsed.service) {
         BodyLimit::Bytes(limit) => limit,
         BodyLimit::NoService => {
             let detail = format!("service `{}` has no document in force here", parsed.service);
-            return problem::answer(StatusCode::NOT_FOUND, CallOutcome::NotRun, &detail);
+            let not_found = StatusCode::NOT_FOUND;
+            return Err(problem::answer(not_found, CallOutcome::NotRun, &detail));
         }
-        BodyLimit::NotReady => return ending::refused(Refusal::NotReady),
+        BodyLimit::NotReady => return Err(ending::refused(Refusal::NotReady)),
     };
-    match body::read(req.into_body(), limit, BODY_TIMEOUT).await {
-        Ok(body) => call(cx, audience, parsed, body).await,
-        Err(err) => ending::bad_body(&err),
-    }
+    let body = body::read(req.into_body(), limit, BODY_TIMEOUT).await;
+    let body = body.map_err(|err| ending::bad_body(&err))?;
+    call(cx, audience, parsed, body).await
 }
 
 async fn call(
@@ -102,7 +119,7 @@
     audience: service::Audience,
     parsed: request::Parsed,
     body: Bytes,
-) -> Response<Full<Bytes>> {
+) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let token = cx.tokens.fetch_add(1, Ordering::Relaxed);
     let (reply_to, ended) = oneshot::channel();
     let call = Box::new(Call {
@@ -116,7 +133,7 @@
         reply_to,
     });
     if !(cx.sink)(Event::Call(call)) {
-        return ending::refused(Refusal::Overloaded);
+        return Err(ending::refused(Refusal::Overloaded));
     }
     let guard = guard::Guard::new(token, cx.sink.clone());
     let ended = ended.await.unwrap_or(Ending {
@@ -124,7 +141,7 @@
         ticket: None,
     });
     guard.disarm();
-    ending::answer(ended)
+    Ok(ending::answer(ended))
 }
 
 /// The public's word on depth does not count.
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -103,7 +103,11 @@
     parsed.map(Some).ok_or_else(wrong)
 }
 
-fn ticket(headers: &HeaderMap) -> Result<Option<id::Ticket>, RequestError> {
+/// The ticket that a request carries.
+///
+/// # Errors
+/// [`RequestError::Header`] if the header is there and holds no ticket.
+pub fn ticket(headers: &HeaderMap) -> Result<Option<id::Ticket>, RequestError> {
     let Some(text) = head::text(headers, problem::TICKET) else {
         return Ok(None);
     };
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -99,6 +99,8 @@
         AnswerNotKept { display("the call ran and its answer is no longer kept") }
         /// The ticket is older than what the gate remembers.
         TicketExpired { display("the ticket is older than what the gate remembers") }
+        /// This entry could not ask the gate that the caller's ticket names.
+        NotAsked { display("the gate that the ticket names was not asked") }
         /// An earlier attempt may have run before this refusal.
         EarlierAttempt { display("an earlier attempt may have run") }
     }
--- a/crates/dev/src/caller.rs
+++ b/crates/dev/src/caller.rs
@@ -91,7 +91,10 @@
     let begun = Instant::now();
     let (told, ticket, status) = match exchange(client, call).await {
         Ok(exchanged) => exchanged,
-        Err(client::ClientError::Connect(_, reason)) => (Told::NotRun(reason.into()), None, 0),
+        // With a ticket an earlier try may have run; nobody has said otherwise.
+        Err(client::ClientError::Connect(_, reason)) if call.ticket.is_none() => {
+            (Told::NotRun(reason.into()), None, 0)
+        }
         Err(err) => (Told::Unknown(err.to_string().into()), None, 0),
     };
     Ended {
--- a/crates/dev/tests/failures.rs
+++ b/crates/dev/tests/failures.rs
@@ -179,6 +179,7 @@
 #[test]
 fn without_the_platform_running_daemons_serve_and_a_fresh_one_refuses() {
     let mut deployment = Deployment::start(&plan(1, 0)).expect("deployment must start");
+    let ticket = support::ticket(&deployment, 1, "assignment");
     let down = platform::Faults {
         down: true,
         ..platform::Faults::default()
@@ -202,6 +203,12 @@
     let expected = Told::NotRun("the daemon has not read the documents yet".into());
     assert_eq!((ended.told, ended.status), (expected, 503));
 
+    // A resend with a ticket may have run before, whatever this daemon knows.
+    let mut again = Call::plain("POST", "/assignment/assign", "r3");
+    again.ticket = Some(ticket);
+    let ended = caller::call_once(deployment.hosts[0].addresses.public, &again);
+    assert!(matches!(ended.told, Told::Unknown(_)), "{ended:?}");
+
     let up = platform::Faults::default();
     deployment.platform_faults(up).expect("platform must reply");
     deployment
--- a/crates/dev/tests/mixed.rs
+++ b/crates/dev/tests/mixed.rs
@@ -131,6 +131,11 @@
     let runs = ledger::runs(ledgers).expect("ledgers must be readable");
     let verdict = judge::judge(&made, &runs);
     println!("{verdict:?}");
+    for call in made.iter().filter(|made| runs.contains_key(&made.request)) {
+        if matches!(call.ended.told, Told::NotRun(_)) {
+            println!("{call:?}");
+        }
+    }
     assert!(verdict.answered > 0, "{verdict:?}");
     assert_eq!(verdict.wrong, 0, "{verdict:?}");
     assert_eq!(verdict.run_twice, 0, "{verdict:?}");
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -142,14 +142,20 @@
         self.entry.issue(now, service, rand::random())
     }
 
-    /// Tells a caller at once that its call was refused.
+    /// Tells a caller at once that its call goes no further than this entry.
     pub fn refuse(&self, call: Box<Call>, refusal: Refusal) {
+        // With a ticket an earlier try may have run.
+        let (kind, outcome) = if call.ticket.is_some() {
+            (EndingKind::Unknown(Doubt::NotAsked), "unknown")
+        } else {
+            (EndingKind::NotRun(refusal), "not-run")
+        };
         let text = refusal.to_string();
         self.instruments
-            .ended(&call.service, "not-run", &text, Duration::ZERO);
+            .ended(&call.service, outcome, &text, Duration::ZERO);
         let ending = Ending {
-            kind: EndingKind::NotRun(refusal),
-            ticket: None,
+            kind,
+            ticket: call.ticket,
         };
         // The caller may have left.
         let _ = call.reply_to.send(ending);
