--- a/crates/caller/src/ending.rs
+++ b/crates/caller/src/ending.rs
@@ -1,26 +1,38 @@
 //! HTTP answers for endings.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use pollenrouter_core::call::{Doubt, Refusal};
 use pollenrouter_core::{exchange, id};
+use pollenrouter_http::convention::Convention;
 use pollenrouter_http::problem::CallOutcome;
 use pollenrouter_http::{body, head, problem};
 
 use crate::message::{Ending, EndingKind};
 use crate::request;
 
+/// Time after which a caller may come back where nothing better is known.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
+
 /// The answer to a caller whose call ended.
 #[must_use]
-pub fn answer(ending: Ending) -> Response<Full<Bytes>> {
+pub fn answer(
+    convention: &Convention,
+    ending: Ending,
+    had_ticket: bool,
+) -> Response<Full<Bytes>> {
     let mut answer = match ending.kind {
         EndingKind::Answer(head, body) => whole(&head, body),
-        EndingKind::NotRun(refusal) => refused(refusal),
-        EndingKind::Unknown(doubt) => doubtful(doubt),
+        EndingKind::NotRun(refusal) => {
+            refused(convention, refusal, ending.retry_after, had_ticket)
+        }
+        EndingKind::Unknown(doubt) => doubtful(doubt, had_ticket),
     };
-    if let Some(ticket) = ending.ticket {
+    if let Some(ticket) = ending.ticket.filter(|_| convention.tickets) {
         name_ticket(&mut answer, &ticket);
     }
     answer
@@ -35,17 +47,32 @@
 
 /// The answer for a call that was refused.
 #[must_use]
-pub fn refused(refusal: Refusal) -> Response<Full<Bytes>> {
+pub fn refused(
+    convention: &Convention,
+    refusal: Refusal,
+    retry_after: Option<Duration>,
+    had_ticket: bool,
+) -> Response<Full<Bytes>> {
     let status = match refusal {
         Refusal::NoDocument | Refusal::NoRoute => StatusCode::NOT_FOUND,
         Refusal::NotPublic | Refusal::NotCaller => StatusCode::FORBIDDEN,
-        Refusal::WrongService | Refusal::WrongRequest | Refusal::Void => StatusCode::CONFLICT,
+        // Without a ticket the caller is not to blame.
+        Refusal::WrongService | Refusal::WrongRequest | Refusal::Void if had_ticket => {
+            StatusCode::CONFLICT
+        }
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut answer = problem::answer(status, CallOutcome::NotRun, &refusal.to_string());
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let seconds = HeaderValue::from_static("1");
-        answer.headers_mut().insert(RETRY_AFTER, seconds);
+        let after = retry_after.unwrap_or(RETRY_AFTER_DEFAULT);
+        let text = if convention.retry_fractions {
+            format!("{:.3}", after.as_secs_f64())
+        } else {
+            after.as_millis().div_ceil(1000).max(1).to_string()
+        };
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            answer.headers_mut().insert(RETRY_AFTER, value);
+        }
     }
     answer
 }
@@ -68,11 +95,7 @@
 /// The answer to a request whose head can not be taken.
 #[must_use]
 pub fn malformed(err: &request::RequestError) -> Response<Full<Bytes>> {
-    let status = match err {
-        request::RequestError::NoLength => StatusCode::LENGTH_REQUIRED,
-        request::RequestError::Path => StatusCode::NOT_FOUND,
-        _ => StatusCode::BAD_REQUEST,
-    };
+    let status = StatusCode::BAD_REQUEST;
     problem::answer(status, CallOutcome::NotRun, &err.to_string())
 }
 
@@ -87,12 +110,12 @@
     problem::answer(status, CallOutcome::NotRun, &err.to_string())
 }
 
-fn doubtful(doubt: Doubt) -> Response<Full<Bytes>> {
+fn doubtful(doubt: Doubt, had_ticket: bool) -> Response<Full<Bytes>> {
     let status = match doubt {
         Doubt::Silent => StatusCode::GATEWAY_TIMEOUT,
         Doubt::NotAsked => StatusCode::SERVICE_UNAVAILABLE,
-        Doubt::AnswerNotKept | Doubt::TicketExpired => StatusCode::GONE,
-        Doubt::GateGone | Doubt::TargetLost | Doubt::EarlierAttempt => StatusCode::BAD_GATEWAY,
+        Doubt::AnswerNotKept | Doubt::TicketExpired if had_ticket => StatusCode::GONE,
+        _ => StatusCode::BAD_GATEWAY,
     };
     problem::answer(status, CallOutcome::Unknown, &doubt.to_string())
 }
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -10,10 +10,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use log::debug;
 use pollenrouter_core::call::{Doubt, MAX_DEPTH, Refusal};
-use pollenrouter_core::{id, service};
+use pollenrouter_core::{exchange, id, service, table};
+use pollenrouter_http::convention::Convention;
 use pollenrouter_http::problem::CallOutcome;
-use pollenrouter_http::{body, problem, server};
+use pollenrouter_http::{body, head, problem, server};
 use smol_str::SmolStr;
 use tokio::sync::{oneshot, watch};
 
@@ -28,29 +30,48 @@
 
 /// Takes events; tells whether there was room.
 pub type Sink = Arc<dyn Fn(Event) -> bool + Send + Sync>;
-/// Bound on the request bodies of a service.
-pub type BodyLimits = Arc<dyn Fn(&str) -> BodyLimit + Send + Sync>;
+/// Finds the route of a request.
+pub type Lookup = Arc<dyn Fn(&request::Parsed) -> Found + Send + Sync>;
+/// Bounds on what callers send, as they are in force at the moment.
+pub type Limits = Arc<dyn Fn() -> table::CallerLimits + Send + Sync>;
 
-/// Bound on the request bodies of one service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyLimit {
-    /// The largest body, bytes.
-    Bytes(u64),
-    /// No such service has a document.
-    NoService,
-    /// The daemon has not read the documents yet.
+/// What the table says of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Its route.
+    Route(Box<Matched>),
+    /// No route matches.
+    NoRoute,
+    /// The daemon knows no table yet.
     NotReady,
 }
 
+/// The route of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Matched {
+    /// The route.
+    pub route: table::Route,
+    /// The service that the request goes to.
+    pub service: id::ServiceName,
+    /// Largest body, bytes.
+    pub body_bytes: u64,
+}
+
 /// What a listener needs of its embedder.
 #[derive(Clone)]
 pub struct Context {
     /// Where events go.
     pub sink: Sink,
-    /// Bounds on bodies.
-    pub body_limit: BodyLimits,
+    /// Routes.
+    pub lookup: Lookup,
+    /// Bounds on callers.
+    pub limits: Limits,
     /// Source of tokens, shared by all listeners of a daemon.
     pub tokens: Arc<AtomicU64>,
+    /// Names of headers.
+    pub convention: Convention,
+    /// Service of the target on this host.
+    pub own_service: Option<id::ServiceName>,
 }
 
 /// Serves callers until `stop` turns true.
@@ -63,12 +84,14 @@
     cx: Context,
     stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
+    let limits = cx.limits.clone();
+    let idle: server::IdleTimeout = Rc::new(move || limits().idle_timeout);
     let cx = Rc::new(cx);
     let handler = move |req| {
         let cx = cx.clone();
         async move { handle(&cx, audience, req).await }
     };
-    server::serve(listener, server::Bounds::default(), stop, handler).await
+    server::serve_with_idle(listener, server::Bounds::default(), idle, stop, handler).await
 }
 
 async fn handle(
@@ -76,10 +99,12 @@
     audience: service::Audience,
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    if let Some(service) = req.uri().path().strip_prefix(TICKETS) {
+    if cx.convention.tickets
+        && let Some(service) = req.uri().path().strip_prefix(TICKETS)
+    {
         return ticket(cx, req.method(), service.into()).await;
     }
-    let parsed = match request::parse(&req) {
+    let parsed = match request::parse(&cx.convention, &req) {
         Ok(parsed) => parsed,
         Err(err) => {
             let ticket = request::ticket(req.headers()).ok().flatten();
@@ -100,32 +125,62 @@
     parsed: request::Parsed,
     req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
-    let limit = match (cx.body_limit)(&parsed.service) {
-        BodyLimit::Bytes(limit) => limit,
-        BodyLimit::NoService => {
-            let detail = format!("service `{}` has no document in force here", parsed.service);
-            let not_found = StatusCode::NOT_FOUND;
-            return Err(problem::answer(not_found, CallOutcome::NotRun, &detail));
-        }
-        BodyLimit::NotReady => return Err(ending::refused(Refusal::NotReady)),
+    let refused = |refusal| {
+        debug!(host:% = parsed.host, path:% = parsed.path; "refused: {refusal}");
+        ending::refused(&cx.convention, refusal, None, false)
     };
-    let body = body::read(req.into_body(), limit, BODY_TIMEOUT).await;
+    let matched = match (cx.lookup)(&parsed) {
+        Found::Route(matched) => matched,
+        Found::NoRoute => return Err(refused(Refusal::NoRoute)),
+        Found::NotReady => return Err(refused(Refusal::NotReady)),
+    };
+    let headers = forwarded(cx, audience, req.headers());
+    let body = body::read(req.into_body(), matched.body_bytes, BODY_TIMEOUT).await;
     let body = body.map_err(|err| ending::bad_body(&err))?;
-    call(cx, audience, parsed, body).await
+    call(cx, audience, parsed, *matched, headers, body).await
+}
+
+/// End-to-end headers, with the system's own word on who calls.
+fn forwarded(
+    cx: &Context,
+    audience: service::Audience,
+    headers: &hyper::HeaderMap,
+) -> Vec<exchange::Header> {
+    let mut forwarded = head::end_to_end(headers);
+    let own = [cx.convention.caller, cx.convention.deadline_ms];
+    forwarded.retain(|(name, _)| !own.contains(&name.as_str()));
+    let is_local = cx.convention.callers_are_local || audience == service::Audience::Internal;
+    if let Some(service) = cx.own_service.as_ref().filter(|_| is_local) {
+        forwarded.push((cx.convention.caller.into(), service.as_bytes().to_vec()));
+    }
+    forwarded
 }
 
 async fn call(
     cx: &Context,
     audience: service::Audience,
     parsed: request::Parsed,
+    matched: Matched,
+    headers: Vec<exchange::Header>,
     body: Bytes,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let token = cx.tokens.fetch_add(1, Ordering::Relaxed);
     let (reply_to, ended) = oneshot::channel();
+    let had_ticket = parsed.ticket.is_some();
+    let path = match &parsed.path[matched.route.strip..] {
+        rest if rest.starts_with('/') => SmolStr::new(rest),
+        rest => format!("/{rest}").into(),
+    };
     let call = Box::new(Call {
         token,
-        service: parsed.service,
-        head: parsed.head,
+        head: exchange::RequestHead {
+            method: parsed.method,
+            host: matched.route.host.is_some().then_some(parsed.host),
+            path,
+            headers,
+        },
+        service: matched.service,
+        route: matched.route,
         body,
         remaining: parsed.remaining,
         depth: depth(audience, parsed.depth),
@@ -133,15 +188,17 @@
         reply_to,
     });
     if !(cx.sink)(Event::Call(call)) {
-        return Err(ending::refused(Refusal::Overloaded));
+        let refusal = Refusal::Overloaded;
+        return Err(ending::refused(&cx.convention, refusal, None, had_ticket));
     }
     let guard = guard::Guard::new(token, cx.sink.clone());
     let ended = ended.await.unwrap_or(Ending {
         kind: EndingKind::Unknown(Doubt::Silent),
         ticket: None,
+        retry_after: None,
     });
     guard.disarm();
-    Ok(ending::answer(ended))
+    Ok(ending::answer(&cx.convention, ended, had_ticket))
 }
 
 /// The public's word on depth does not count.
@@ -159,10 +216,10 @@
     }
     let (reply_to, issued) = oneshot::channel();
     if !(cx.sink)(Event::Ticket(service, reply_to)) {
-        return ending::refused(Refusal::Overloaded);
+        return ending::refused(&cx.convention, Refusal::Overloaded, None, false);
     }
     match issued.await.ok().flatten() {
-        None => ending::refused(Refusal::NoTarget),
+        None => ending::refused(&cx.convention, Refusal::NoTarget, None, false),
         Some(ticket) => {
             let text = SmolStr::new(ticket.to_string());
             let mut answer = problem::json(
--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pollenrouter_core::{call, entry, exchange, id};
+use pollenrouter_core::{call, entry, exchange, id, table};
 use tokio::sync::oneshot;
 
 /// A request of a caller.
@@ -13,7 +13,9 @@
     pub token: entry::Token,
     /// Service that is called.
     pub service: id::ServiceName,
-    /// Head, with the path below the service.
+    /// Route that the request matched.
+    pub route: table::Route,
+    /// Head, with the path as the target gets it.
     pub head: exchange::RequestHead,
     /// Whole body.
     pub body: Bytes,
@@ -34,6 +36,8 @@
     pub kind: EndingKind,
     /// The call's ticket, where one was issued.
     pub ticket: Option<id::Ticket>,
+    /// When a caller whose call was not run may come back.
+    pub retry_after: Option<Duration>,
 }
 
 /// Kinds of ending.
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -5,25 +5,19 @@
 
 use hyper::HeaderMap;
 use hyper::body::Incoming;
-use hyper::header::TRANSFER_ENCODING;
-use pollenrouter_core::{call, exchange, id};
+use hyper::header::HOST;
+use pollenrouter_core::{call, id};
+use pollenrouter_http::convention::Convention;
 use pollenrouter_http::{head, problem};
 use quick_error::quick_error;
+use smol_str::SmolStr;
 
-/// Header with the time left, in milliseconds.
-pub const DEADLINE: &str = "pollenrouter-deadline-ms";
-/// Header with the depth of a call between services.
-pub const DEPTH: &str = "pollenrouter-depth";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 quick_error! {
     /// A request that can not be taken as it is.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum RequestError {
-        /// The body's length is not stated.
-        NoLength {
-            display("header `transfer-encoding` is not accepted: state the body's length in `content-length`")
-        }
         /// A header's value is not of its kind.
         Header(name: &'static str, expected: String) {
             display("header `{name}` {expected}")
@@ -32,20 +26,18 @@
         IdempotencyKey {
             display("header `idempotency-key` is not supported: ask for a ticket with POST /.pollenrouter/tickets/SERVICE and send it in `{}`", problem::TICKET)
         }
-        /// The path names no service.
-        Path {
-            display("path does not begin with the name of a service")
-        }
     }
 }
 
 /// Head of a request, read.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Parsed {
-    /// Service that is called.
-    pub service: id::ServiceName,
-    /// Head, with the path below the service.
-    pub head: exchange::RequestHead,
+    /// Host that the request names; empty where it names none.
+    pub host: SmolStr,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path and query.
+    pub path: SmolStr,
     /// Time left, where stated.
     pub remaining: Option<Duration>,
     /// Depth that the caller states.
@@ -54,46 +46,49 @@
     pub ticket: Option<id::Ticket>,
 }
 
+impl Parsed {
+    /// The path without the query.
+    #[must_use]
+    pub fn plain_path(&self) -> &str {
+        self.path.split('?').next().unwrap_or_default()
+    }
+}
+
 /// Reads a request's head.
 ///
 /// # Errors
 /// [`RequestError`] says which part is wrong.
-pub fn parse(request: &hyper::Request<Incoming>) -> Result<Parsed, RequestError> {
+pub fn parse(
+    convention: &Convention,
+    request: &hyper::Request<Incoming>,
+) -> Result<Parsed, RequestError> {
     let headers = request.headers();
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return Err(RequestError::NoLength);
-    }
-    if headers.contains_key(IDEMPOTENCY_KEY) {
+    if convention.tickets && headers.contains_key(IDEMPOTENCY_KEY) {
         return Err(RequestError::IdempotencyKey);
     }
-    let whole = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let (service, path) = split(whole).ok_or(RequestError::Path)?;
+    let uri = request.uri();
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let host = uri.authority().map(hyper::http::uri::Authority::as_str);
+    let host = host.or_else(|| head::text(headers, HOST.as_str()));
+    let remaining = number::<u32>(headers, convention.deadline_ms)?;
+    let depth = match convention.depth {
+        Some(name) => number::<u8>(headers, name)?,
+        None => None,
+    };
     Ok(Parsed {
-        service,
-        head: exchange::RequestHead {
-            method: request.method().as_str().into(),
-            path: path.into(),
-            headers: head::end_to_end(headers),
+        host: host.unwrap_or_default().into(),
+        method: request.method().as_str().into(),
+        path: path.into(),
+        remaining: remaining.map(|ms| Duration::from_millis(ms.into())),
+        depth: depth.unwrap_or(0).min(call::MAX_DEPTH),
+        ticket: if convention.tickets {
+            ticket(headers)?
+        } else {
+            None
         },
-        remaining: number::<u32>(headers, DEADLINE)?.map(|ms| Duration::from_millis(ms.into())),
-        depth: number::<u8>(headers, DEPTH)?
-            .unwrap_or(0)
-            .min(call::MAX_DEPTH),
-        ticket: ticket(headers)?,
     })
 }
 
-fn split(whole: &str) -> Option<(id::ServiceName, &str)> {
-    let rest = whole.strip_prefix('/')?;
-    let end = rest.find(['/', '?']).unwrap_or(rest.len());
-    let (service, path) = rest.split_at(end);
-    let path = if path.is_empty() { "/" } else { path };
-    (!service.is_empty()).then(|| (service.into(), path))
-}
-
 fn number<T: FromStr>(headers: &HeaderMap, name: &'static str) -> Result<Option<T>, RequestError> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -51,28 +51,37 @@
     }
 }
 
-/// Allowance for second attempts: a share of the traffic, with a floor.
+/// One daemon's allowance for second attempts: a share of its own traffic, and
+/// an even share of what the whole fleet may spend beyond that.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RetryBudget {
     hundredths: u32,
+    max: u32,
 }
 
 const RETRY_COST: u32 = 100;
-const RETRY_START: u32 = 10 * RETRY_COST;
-const RETRY_MAX: u32 = 100 * RETRY_COST;
 
-impl Default for RetryBudget {
-    fn default() -> Self {
+impl RetryBudget {
+    /// A full budget; `slack` attempts are shared by `members` daemons.
+    #[must_use]
+    pub fn new(slack: u32, members: u32) -> Self {
+        let max = slack / members.max(1) * RETRY_COST;
+        let max = max.max(RETRY_COST);
         Self {
-            hundredths: RETRY_START,
+            hundredths: max,
+            max,
         }
     }
-}
 
-impl RetryBudget {
+    /// Follows a change of the fleet's size or of the slack.
+    pub fn resize(&mut self, slack: u32, members: u32) {
+        self.max = Self::new(slack, members).max;
+        self.hundredths = self.hundredths.min(self.max);
+    }
+
     /// Adds a first attempt's share.
     pub fn deposit(&mut self, percent: u32) {
-        self.hundredths = self.hundredths.saturating_add(percent).min(RETRY_MAX);
+        self.hundredths = self.hundredths.saturating_add(percent).min(self.max);
     }
 
     /// Takes a second attempt if the share allows it.
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -23,8 +23,12 @@
     pub route: id::RouteName,
     /// 0 for the public, 1 and more for calls between services.
     pub depth: u8,
+    /// Rank of the route; 0 goes first.
+    pub rank: u8,
     /// Time left until the deadline.
     pub remaining: Duration,
+    /// Time left until the latency owed is exceeded.
+    pub objective: Duration,
     /// Whether the call may run at most once.
     pub once: bool,
     /// Digest of method, path and body; a ticket stays with one request.
@@ -111,6 +115,8 @@
 pub enum Reply {
     /// The call ran; the answer goes with this reply.
     Answer,
+    /// The call ran and the target reported a failure; its answer goes with this reply.
+    Failure,
     /// The call did not run and never will under this id.
     NotRun(Refusal),
     /// The call may have run.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1,4 +1,5 @@
-//! Choice of a gate for a call: two random draws, the less loaded one wins.
+//! Choice of a gate for a call: the one that is expected to answer first among
+//! the gates of the own failure domain and two random draws.
 
 use std::time::Duration;
 
@@ -6,8 +7,17 @@
 
 /// A reported load counts for this long; after that only own calls count.
 const HINT_TTL: Duration = Duration::from_secs(1);
-const LOAD_SCALE: u64 = 1000;
-const FAILING_LOAD: u64 = 4 * LOAD_SCALE;
+/// A target's momentary speed is believed for this long; it changes within
+/// fractions of a second.
+const SLOWNESS_TTL: Duration = Duration::from_millis(150);
+/// Hundredths of the usual service time.
+const USUAL: u32 = 100;
+/// Service time of a gate that has not reported one.
+const MEAN_UNKNOWN: Duration = Duration::from_millis(50);
+/// What another failure domain must be faster by: a round trip and its traffic.
+const FAR_COST: Duration = Duration::from_millis(10);
+/// A failing gate costs as much as this many service times.
+const FAILING_COST: u32 = 8;
 
 /// What an entry knows of a gate's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -20,30 +30,77 @@
     pub offered_since: u32,
 }
 
+/// A gate to choose from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Choice {
+    /// Its load.
+    pub load: Load,
+    /// Whether it stands in the entry's failure domain.
+    pub is_near: bool,
+}
+
 impl Load {
-    /// Load in thousandths of the gate's slots.
+    /// Time until a call that comes now is expected to start.
     #[must_use]
-    pub fn score(&self, now: Duration) -> u64 {
-        let fresh = self.report.filter(|(_, at)| *at + HINT_TTL >= now);
-        let slots = self.report.map_or(1, |(h, _)| h.slots).max(1);
-        let own = u64::from(self.outstanding);
-        let reported = fresh.map_or(0, |(h, _)| u64::from(h.running) + u64::from(h.waiting));
-        let expected = own.max(reported + u64::from(self.offered_since));
-        let failing = fresh.is_some_and(|(h, _)| h.failing);
-        let penalty = if failing { FAILING_LOAD } else { 0 };
-        expected * LOAD_SCALE / u64::from(slots) + penalty
+    pub fn wait(&self, now: Duration) -> Duration {
+        let Some((hint, at)) = self.report else {
+            return Duration::ZERO;
+        };
+        let fresh = now.saturating_sub(at) <= HINT_TTL;
+        let reported = if fresh { hint.running + hint.waiting } else { 0 };
+        let ahead = self.outstanding.max(reported + self.offered_since);
+        let slots = hint.slots.max(1);
+        hint.mean * (ahead + 1).saturating_sub(slots) / slots
+    }
+
+    /// Time that a call is expected to take at the gate.
+    #[must_use]
+    pub fn expected(&self, now: Duration) -> Duration {
+        let Some((hint, at)) = self.report else {
+            return MEAN_UNKNOWN * (self.outstanding + 1);
+        };
+        let age = now.saturating_sub(at);
+        let fresh = age <= HINT_TTL;
+        let mean = if hint.mean.is_zero() {
+            MEAN_UNKNOWN
+        } else {
+            hint.mean
+        };
+        let reported = if fresh { hint.running + hint.waiting } else { 0 };
+        let ahead = self.outstanding.max(reported + self.offered_since);
+        let slots = hint.slots.max(1);
+        let slow = age <= SLOWNESS_TTL && hint.slowness > USUAL;
+        let service = if slow {
+            mean * hint.slowness / USUAL
+        } else {
+            mean
+        };
+        // Work slows down as the slots fill, so a half-filled gate is not free.
+        let crowding = mean * ahead.min(slots) / (2 * slots);
+        let wait = mean * (ahead + 1).saturating_sub(slots) / slots;
+        let failing = if fresh && hint.failing { FAILING_COST } else { 0 };
+        service + crowding + wait + mean * failing
+    }
+}
+
+impl Choice {
+    fn cost(&self, now: Duration) -> Duration {
+        let distance = if self.is_near { Duration::ZERO } else { FAR_COST };
+        self.load.expected(now) + distance
     }
 }
 
-/// Picks a position among `loads` by two draws from `draw`.
+/// Picks a position among `options`; two of the draws come from `draw`.
 #[must_use]
-pub fn pick(loads: &[Load], draw: u64, now: Duration) -> Option<usize> {
-    let n = u64::try_from(loads.len()).ok().filter(|n| *n > 0)?;
+pub fn pick(options: &[Choice], draw: u64, now: Duration) -> Option<usize> {
+    let n = u64::try_from(options.len()).ok().filter(|n| *n > 0)?;
     let first = draw % n;
     let others = n.saturating_sub(1).max(1);
     let second = (first + 1 + (draw >> 32) % others) % n;
+    let near = (0..options.len()).filter(|at| options[*at].is_near);
     [first, second]
         .into_iter()
         .filter_map(|at| usize::try_from(at).ok())
-        .min_by_key(|at| loads[*at].score(now))
+        .chain(near)
+        .min_by_key(|at| options[*at].cost(now))
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -23,11 +23,16 @@
 /// Pause between two questions to a silent gate.
 pub const QUERY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Bounds of the time after which a refused caller is asked back. The load of a
+/// target changes within fractions of a second.
+pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+const RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
+
 /// Handle of a call within one entry.
 pub type Token = u64;
 
 /// A gate as the members' objects describe it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Member {
     /// Its host.
     pub host: id::HostName,
@@ -35,12 +40,14 @@
     pub incarnation: id::Incarnation,
     /// The service of its target.
     pub service: id::ServiceName,
+    /// Its failure domain.
+    pub failure_domain: id::DomainName,
     /// Whether it takes new work.
     pub serving: bool,
 }
 
 /// A caller's request, after the document was applied to it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Request {
     /// Handle that outputs refer to.
     pub token: Token,
@@ -50,8 +57,14 @@
     pub route: id::RouteName,
     /// 0 for the public.
     pub depth: u8,
+    /// Rank of the route; 0 goes first.
+    pub rank: u8,
     /// Time left until the deadline.
     pub remaining: Duration,
+    /// Time left until the latency owed is exceeded.
+    pub objective: Duration,
+    /// Targets that the call may be sent to.
+    pub attempts: u32,
     /// Whether the call may run at most once.
     pub once: bool,
     /// Digest of method, path and body.
@@ -60,6 +73,8 @@
     pub ticket: Option<id::Ticket>,
     /// Second attempts per hundred calls.
     pub retry_percent: u32,
+    /// Second attempts of the whole fleet beyond that share, in ten seconds.
+    pub retry_slack: u32,
     /// Random draw for the choice of a gate.
     pub draw: u64,
 }
@@ -97,6 +112,8 @@
 pub enum Verdict {
     /// The answer that came with the reply for this id.
     Answer(id::CallId),
+    /// The failure that a target reported with the reply for this id.
+    Failure(id::CallId),
     /// The call did not run and never will.
     NotRun(Refusal),
     /// The call may have run.
@@ -114,6 +131,8 @@
     Withdraw(id::HostName, call::Query),
     /// Find out whether a gate can be reached.
     Probe(id::HostName),
+    /// Keep the failure that came with the reply for this id; it may be told later.
+    KeepFailure(Token, id::CallId),
     /// Tell the caller.
     Done(Token, Verdict, Option<id::Ticket>),
 }
@@ -129,9 +148,14 @@
 struct Pending {
     request: Request,
     deadline: Duration,
+    objective: Duration,
     attempt: Option<Attempt>,
     tried: Vec<id::HostName>,
+    /// Targets that the call was sent to, as far as is known.
+    arrivals: u32,
     maybe_ran: bool,
+    /// A failure that a target reported, to be told if no other attempt answers.
+    failure: Option<id::CallId>,
 }
 
 /// State of one entry.
@@ -139,6 +163,7 @@
 pub struct Entry {
     incarnation: id::Incarnation,
     next_seq: u64,
+    failure_domain: id::DomainName,
     gates: gates::Gates,
     pending: BTreeMap<Token, Pending>,
     by_id: BTreeMap<id::CallId, Vec<Token>>,
@@ -152,6 +177,7 @@
         Self {
             incarnation,
             next_seq: 1,
+            failure_domain: id::DomainName::default(),
             gates: gates::Gates::default(),
             pending: BTreeMap::new(),
             by_id: BTreeMap::new(),
@@ -159,6 +185,13 @@
         }
     }
 
+    /// Prefers gates of this failure domain.
+    #[must_use]
+    pub fn within(mut self, failure_domain: id::DomainName) -> Self {
+        self.failure_domain = failure_domain;
+        self
+    }
+
     /// Takes one input and returns what has to be done, in order.
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
@@ -179,7 +212,7 @@
 
     /// Issues a ticket for a service without a call.
     pub fn issue(&mut self, now: Duration, service: &str, draw: u64) -> Option<id::Ticket> {
-        let member = self.gates.pick(now, service, draw, &[])?;
+        let member = self.pick(now, service, draw, &[])?;
         let (host, incarnation) = (member.host.clone(), member.incarnation);
         Some(id::Ticket {
             service: service.into(),
@@ -189,6 +222,19 @@
         })
     }
 
+    /// When a refused caller may come back: once the calls that wait at the least
+    /// loaded gate of the service are expected to have started.
+    #[must_use]
+    pub fn retry_after(&self, now: Duration, service: &str) -> Duration {
+        let waits = self
+            .gates
+            .iter()
+            .filter(|(member, _)| member.service == service && member.serving)
+            .map(|(_, load)| load.wait(now));
+        let shortest = waits.min().unwrap_or(RETRY_AFTER_MAX);
+        shortest.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+
     /// Whether no call is open.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -211,16 +257,17 @@
     }
 
     fn call(&mut self, now: Duration, request: Request, out: &mut Vec<Output>) {
-        let percent = request.retry_percent;
-        let budget = self.budgets.entry(request.service.clone()).or_default();
-        budget.deposit(percent);
+        self.deposit(&request);
         let token = request.token;
         let pending = Pending {
             deadline: now + request.remaining,
+            objective: now + request.objective,
             request,
             attempt: None,
             tried: Vec::new(),
+            arrivals: 0,
             maybe_ran: false,
+            failure: None,
         };
         let wrong = self.wrong_ticket(&pending.request);
         self.pending.insert(token, pending);
@@ -248,12 +295,34 @@
             self.close_attempt(id, token);
             match reply {
                 Reply::Answer => self.conclude(token, Ok(id), out),
+                Reply::Failure => self.failed(now, token, id, out),
                 Reply::NotRun(refusal) => self.not_run(now, token, refusal, out),
                 Reply::Unknown(doubt) => self.doubt(now, token, doubt, out),
             }
         }
     }
 
+    fn deposit(&mut self, request: &Request) {
+        let members = self.gates.len();
+        let budget = self
+            .budgets
+            .entry(request.service.clone())
+            .or_insert_with(|| bucket::RetryBudget::new(request.retry_slack, members));
+        budget.resize(request.retry_slack, members);
+        budget.deposit(request.retry_percent);
+    }
+
+    fn pick(
+        &self,
+        now: Duration,
+        service: &str,
+        draw: u64,
+        tried: &[id::HostName],
+    ) -> Option<&Member> {
+        self.gates
+            .pick(now, service, &self.failure_domain, draw, tried)
+    }
+
     fn tokens(&self, id: id::CallId) -> Vec<Token> {
         self.by_id.get(&id).cloned().unwrap_or_default()
     }
@@ -345,6 +414,11 @@
             return;
         };
         // A call that may repeat is sent again without one.
+        let verdict = match (verdict, pending.failure) {
+            (Verdict::Answer(id), _) => Verdict::Answer(id),
+            (_, Some(id)) => Verdict::Failure(id),
+            (verdict, None) => verdict,
+        };
         let once = pending.request.once;
         let ticket = pending.attempt.filter(|_| once).map(|attempt| id::Ticket {
             service: pending.request.service,
--- a/crates/core/src/entry/again.rs
+++ b/crates/core/src/entry/again.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use super::{Entry, Output, QUERY_PAUSE, Sent, Token, Verdict};
-use crate::bucket;
 use crate::call::{Doubt, Refusal};
 use crate::id;
 
+/// Gates that one call is offered to; each offer to another host takes a round trip.
+const GATES_MAX: usize = 4;
+
 impl Entry {
     pub(super) fn not_run(
         &mut self,
@@ -20,7 +22,11 @@
             .pending
             .get(&token)
             .is_some_and(|p| p.request.ticket.is_some());
-        if !bound && self.may_retry(now, token) {
+        let reached_target = refusal == Refusal::Shed;
+        if reached_target {
+            self.arrived(token);
+        }
+        if !bound && self.may_go_on(now, token, reached_target) {
             self.attempt(now, token, refusal, out);
         } else {
             self.conclude(token, Err(refusal), out);
@@ -38,28 +44,64 @@
             return;
         };
         pending.maybe_ran = true;
+        pending.arrivals += 1;
         let repeatable = !pending.request.once && pending.request.ticket.is_none();
-        if repeatable && self.may_retry(now, token) {
+        if repeatable && self.may_go_on(now, token, true) {
             self.attempt(now, token, Refusal::NoTarget, out);
         } else {
             self.finish(token, Verdict::Unknown(doubt), out);
         }
     }
 
-    fn may_retry(&mut self, now: Duration, token: Token) -> bool {
+    /// A target ran the call and reported a failure.
+    pub(super) fn failed(
+        &mut self,
+        now: Duration,
+        token: Token,
+        id: id::CallId,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&token) else {
+            return;
+        };
+        pending.arrivals += 1;
+        pending.failure.get_or_insert(id);
+        let repeatable = !pending.request.once && pending.request.ticket.is_none();
+        if repeatable && self.may_go_on(now, token, true) {
+            out.push(Output::KeepFailure(token, id));
+            self.attempt(now, token, Refusal::NoTarget, out);
+        } else {
+            self.finish(token, Verdict::Failure(id), out);
+        }
+    }
+
+    fn arrived(&mut self, token: Token) {
+        if let Some(pending) = self.pending.get_mut(&token) {
+            pending.arrivals += 1;
+        }
+    }
+
+    /// Whether another gate may be asked. A call that no target has seen costs
+    /// nothing but the messages; one that a target has seen costs the budget.
+    fn may_go_on(&mut self, now: Duration, token: Token, reached_target: bool) -> bool {
         let Some(pending) = self.pending.get(&token) else {
             return false;
         };
-        if now >= pending.deadline {
+        let attempts = pending.request.attempts.max(1);
+        if now >= pending.deadline
+            || pending.arrivals >= attempts
+            || pending.tried.len() >= GATES_MAX
+        {
             return false;
         }
-        let service = pending.request.service.clone();
-        let tried = pending.tried.clone();
-        self.gates.pick(now, &service, 0, &tried).is_some()
-            && self
-                .budgets
-                .get_mut(&service)
-                .is_some_and(bucket::RetryBudget::take)
+        let service = &pending.request.service;
+        let Some(budget) = self.budgets.get_mut(service) else {
+            return false;
+        };
+        let open = self
+            .gates
+            .pick(now, service, &self.failure_domain, 0, &pending.tried);
+        open.is_some() && (!reached_target || budget.take())
     }
 
     pub(super) fn lost(
@@ -92,10 +134,11 @@
         if sent == Sent::Nothing && !asked {
             self.close_attempt(id, token);
             self.not_run_unsent(now, token, out);
-        } else if repeatable && self.may_retry(now, token) {
+        } else if repeatable && self.may_go_on(now, token, true) {
             self.close_attempt(id, token);
             if let Some(pending) = self.pending.get_mut(&token) {
                 pending.maybe_ran = true;
+                pending.arrivals += 1;
             }
             self.attempt(now, token, Refusal::NoTarget, out);
         } else {
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -34,9 +34,7 @@
         request: &Request,
         tried: &[id::HostName],
     ) -> Option<(id::HostName, id::Incarnation, id::CallId)> {
-        let member = self
-            .gates
-            .pick(now, &request.service, request.draw, tried)?;
+        let member = self.pick(now, &request.service, request.draw, tried)?;
         let (host, incarnation) = (member.host.clone(), member.incarnation);
         let id = self.next_id(request.draw);
         Some((host, incarnation, id))
@@ -61,7 +59,9 @@
             service: request.service.clone(),
             route: request.route.clone(),
             depth: request.depth,
+            rank: request.rank,
             remaining: pending.deadline.saturating_sub(now),
+            objective: pending.objective.saturating_sub(now),
             once: request.once,
             fingerprint: request.fingerprint,
             vouched: request.ticket.is_none(),
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -11,7 +11,9 @@
 pub struct RequestHead {
     /// HTTP method.
     pub method: SmolStr,
-    /// Path and query below the service.
+    /// Host that the request is passed on with; `None` for the target's address.
+    pub host: Option<SmolStr>,
+    /// Path and query as the target gets them.
     pub path: SmolStr,
     /// End-to-end headers.
     pub headers: Vec<Header>,
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod answers;
+pub mod target;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -31,8 +32,12 @@
 const OUTCOMES: u32 = 8;
 
 /// What a target says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Announcement {
+    /// Which life of which target speaks.
+    pub life: target::Life,
+    /// Number that grows with each announcement of a life; 0 where there is none.
+    pub sequence: u64,
     /// Service that the target serves.
     pub service: id::ServiceName,
     /// Calls that it runs at once.
@@ -43,6 +48,13 @@
     pub cold_start: Duration,
 }
 
+/// What a target reports with an answer or to a probe.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Report {
+    /// How long work takes at this moment, in hundredths of the usual.
+    pub slowness: u32,
+}
+
 /// What a target made of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
@@ -72,6 +84,13 @@
     Finished(id::CallId, Outcome),
     /// The target announced itself.
     Announced(Announcement),
+    /// The life of a target is leaving or gone, whatever it announces later.
+    Departed(target::Life),
+    /// The target reported its load.
+    Reported(Report),
+    /// Announcements are believed from now on: departures before this daemon's
+    /// start are known.
+    Synced,
     /// A service document came into force.
     Document(service::Service),
     /// The daemon is about to stop.
@@ -110,19 +129,14 @@
     started: Duration,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Target {
-    announcement: Announcement,
-    first_heard: Duration,
-    heard: Duration,
-}
-
 /// State of one gate.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Gate {
     incarnation: id::Incarnation,
     document: Option<service::Service>,
-    target: Option<Target>,
+    targets: target::Targets,
+    announcement_ttl: Duration,
+    synced: bool,
     draining: bool,
     waiting: Vec<queue::Waiting>,
     running: BTreeMap<id::CallId, Running>,
@@ -140,7 +154,9 @@
         Self {
             incarnation,
             document: None,
-            target: None,
+            targets: target::Targets::default(),
+            announcement_ttl: ANNOUNCEMENT_TTL,
+            synced: true,
             draining: false,
             waiting: Vec::new(),
             running: BTreeMap::new(),
@@ -152,6 +168,20 @@
         }
     }
 
+    /// Believes a target for this long after an announcement.
+    #[must_use]
+    pub fn with_announcement_ttl(mut self, ttl: Duration) -> Self {
+        self.announcement_ttl = ttl;
+        self
+    }
+
+    /// Starts nothing before [`Input::Synced`].
+    #[must_use]
+    pub fn unsynced(mut self) -> Self {
+        self.synced = false;
+        self
+    }
+
     /// Takes one input and returns what has to be done, in order.
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
@@ -160,7 +190,10 @@
             Input::Query(query) => self.query(query, &mut out),
             Input::Withdraw(query) => self.withdraw(query, &mut out),
             Input::Finished(id, outcome) => self.finished(now, id, outcome, &mut out),
-            Input::Announced(announcement) => self.announced(now, announcement),
+            Input::Announced(announcement) => self.targets.announced(now, announcement),
+            Input::Departed(life) => self.targets.departed(life),
+            Input::Reported(report) => self.targets.reported(now, report),
+            Input::Synced => self.synced = true,
             Input::Document(document) => self.document = Some(document),
             Input::Drain => self.draining = true,
             Input::Tick => self.expire_answers(now, &mut out),
@@ -201,10 +234,24 @@
         self.refusal_now(now)
             .is_none()
             .then_some(())
-            .and(self.target.as_ref())
+            .and(self.targets.current())
             .map(|target| &target.announcement.service)
     }
 
+    /// The target's life, while there is one.
+    #[must_use]
+    pub fn life(&self) -> Option<&target::Life> {
+        self.targets
+            .current()
+            .map(|target| &target.announcement.life)
+    }
+
+    /// Whether a life of a target is known to be leaving or gone.
+    #[must_use]
+    pub fn has_departed(&self, life: &target::Life) -> bool {
+        self.targets.has_departed(life)
+    }
+
     /// The load as entries should see it.
     #[must_use]
     pub fn hint(&self, now: Duration) -> hint::Hint {
@@ -214,6 +261,7 @@
             waiting: count(self.waiting.len()),
             slots: self.open_slots(now),
             mean: self.times.overall(),
+            slowness: self.targets.slowness(now),
             failing: count(failed) * 2 > OUTCOMES,
             leaving: self.refusal_now(now).is_some(),
         }
@@ -303,7 +351,8 @@
                 self.times
                     .record(&running.route, now.saturating_sub(running.started));
                 self.note_outcome(failed);
-                out.push(Output::Reply(id, Reply::Answer));
+                let reply = if failed { Reply::Failure } else { Reply::Answer };
+                out.push(Output::Reply(id, reply));
                 self.settle(now, id, running.once, bytes, out);
             }
             Outcome::NotStarted(refusal) => {
@@ -325,23 +374,11 @@
         }
     }
 
-    fn announced(&mut self, now: Duration, announcement: Announcement) {
-        let first_heard = match &self.target {
-            Some(target) if now <= target.heard + ANNOUNCEMENT_TTL => target.first_heard,
-            _ => now,
-        };
-        self.target = Some(Target {
-            announcement,
-            first_heard,
-            heard: now,
-        });
-    }
-
     fn refuse_waiting(&mut self, now: Duration, out: &mut Vec<Output>) {
         let leaving = self.refusal_now(now);
         let (late, staying) = std::mem::take(&mut self.waiting)
             .into_iter()
-            .partition(|w| leaving.is_some() || now >= w.deadline);
+            .partition(|w| leaving.is_some() || now >= w.useless_at());
         self.waiting = staying;
         let late: Vec<queue::Waiting> = late;
         for w in late {
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{ANNOUNCEMENT_TTL, Announcement, Gate, Output, count};
+use super::{Announcement, Gate, Output, count};
 use crate::call::{self, Doubt, Refusal, Reply};
 use crate::queue;
 use crate::records::{Known, State};
@@ -37,7 +37,7 @@
         if let Some(refusal) = self.refusal_now(now) {
             return Err(refusal);
         }
-        if self.target.as_ref().map(|t| &t.announcement.service) != Some(&offer.service) {
+        if self.targets.current().map(|t| &t.announcement.service) != Some(&offer.service) {
             return Err(Refusal::WrongService);
         }
         let document = self.document.as_ref().ok_or(Refusal::NoDocument)?;
@@ -56,39 +56,52 @@
         }
         let mean = self.times.mean(&offer.route);
         let overall = self.times.overall();
-        let wait = queue::expected_wait(&self.waiting, offer.depth, long, slots, overall);
-        if wait > offer.remaining || offer.remaining.is_zero() {
+        let order = (offer.depth, offer.rank, long);
+        let wait = queue::expected_wait(&self.waiting, order, slots, overall);
+        let patience = if offer.objective.is_zero() {
+            offer.remaining
+        } else {
+            offer.remaining.min(offer.objective)
+        };
+        if wait > patience || offer.remaining.is_zero() {
             return Err(Refusal::Late);
         }
         Ok(queue::Waiting {
             id: offer.id,
             route: offer.route.clone(),
             depth: offer.depth,
+            rank: offer.rank,
             long,
             once: offer.once,
             arrived: now,
             deadline: now + offer.remaining,
+            objective: now + offer.objective,
             mean,
         })
     }
 
     pub(super) fn refusal_now(&self, now: Duration) -> Option<Refusal> {
-        let Some(target) = &self.target else {
+        if !self.synced {
+            return Some(Refusal::NotReady);
+        }
+        let Some(target) = self.targets.current() else {
             return Some(Refusal::NoTarget);
         };
         if self.draining || target.announcement.draining {
             return Some(Refusal::Draining);
         }
-        (now > target.heard + ANNOUNCEMENT_TTL).then_some(Refusal::NoTarget)
+        (now > target.heard + self.announcement_ttl).then_some(Refusal::NoTarget)
     }
 
     pub(super) fn open_slots(&self, now: Duration) -> u32 {
-        let Some(target) = &self.target else {
+        let Some(target) = self.targets.current() else {
             return 0;
         };
         let Announcement {
             slots, cold_start, ..
         } = target.announcement;
+        let percent = self.document.as_ref().map_or(100, |d| d.limits.slot_percent);
+        let slots = (slots * percent / 100).max(slots.min(1));
         let age = now.saturating_sub(target.first_heard);
         if age >= cold_start {
             return slots;
--- a/crates/core/src/gates.rs
+++ b/crates/core/src/gates.rs
@@ -55,6 +55,18 @@
         }
     }
 
+    /// Number of gates, over all services.
+    #[must_use]
+    pub fn len(&self) -> u32 {
+        u32::try_from(self.0.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether no gate is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Picks a gate of a service that serves and was not tried; one that can not
     /// be reached only if there is no other.
     #[must_use]
@@ -62,6 +74,7 @@
         &self,
         now: Duration,
         service: &str,
+        failure_domain: &str,
         draw: u64,
         tried: &[id::HostName],
     ) -> Option<&Member> {
@@ -77,8 +90,14 @@
             .filter(|g| g.suspicion.is_none())
             .collect();
         let among = if trusted.is_empty() { all } else { trusted };
-        let loads: Vec<choice::Load> = among.iter().map(|gate| gate.load).collect();
-        choice::pick(&loads, draw, now).map(|at| &among[at].member)
+        let options: Vec<choice::Choice> = among
+            .iter()
+            .map(|gate| choice::Choice {
+                load: gate.load,
+                is_near: gate.member.failure_domain == failure_domain,
+            })
+            .collect();
+        choice::pick(&options, draw, now).map(|at| &among[at].member)
     }
 
     /// A call was offered to a gate.
--- a/crates/core/src/hint.rs
+++ b/crates/core/src/hint.rs
@@ -15,6 +15,9 @@
     pub slots: u32,
     /// Mean service time of the target.
     pub mean: Duration,
+    /// How long work takes there at this moment, in hundredths of the usual;
+    /// 0 where the target does not say.
+    pub slowness: u32,
     /// Whether most of the latest calls failed.
     pub failing: bool,
     /// Whether it takes no new work.
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -15,6 +15,8 @@
 pub type DomainName = SmolStr;
 /// Name of a route within a service document.
 pub type RouteName = SmolStr;
+/// Identity of a target, as it states it.
+pub type TargetName = SmolStr;
 /// Random number that a daemon draws at each start.
 pub type Incarnation = u64;
 /// Version of an object as the platform counts it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,3 +25,5 @@
 pub mod service;
 pub mod share;
 pub mod size;
+pub mod table;
+pub mod tables;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -13,6 +13,8 @@
     pub route: id::RouteName,
     /// 0 for the public.
     pub depth: u8,
+    /// Rank of its route; 0 goes first.
+    pub rank: u8,
     /// Whether its work is long.
     pub long: bool,
     /// Whether it may run at most once.
@@ -21,14 +23,28 @@
     pub arrived: Duration,
     /// When it must be answered.
     pub deadline: Duration,
+    /// When an answer exceeds the latency owed.
+    pub objective: Duration,
     /// Expected service time.
     pub mean: Duration,
 }
 
 impl Waiting {
-    fn rank(&self, now: Duration) -> (bool, bool, Duration) {
+    /// From when on a start is of no use: the answer would be too late for what
+    /// is owed, or, for work that has missed that already, for the deadline.
+    #[must_use]
+    pub fn useless_at(&self) -> Duration {
+        if self.arrived < self.objective {
+            self.objective
+        } else {
+            self.deadline
+        }
+    }
+
+    fn order(&self, now: Duration) -> (bool, u8, bool, Duration) {
         let urgent = now + self.mean * 2 >= self.deadline;
-        (self.depth == 0, self.long && !urgent, self.arrived)
+        let long = self.long && !urgent;
+        (self.depth == 0, self.rank, long, self.arrived)
     }
 }
 
@@ -63,15 +79,15 @@
     }
 }
 
-/// Position of the call to start next: internal before public, short before
-/// long, then by arrival.
+/// Position of the call to start next: internal before public, then by
+/// rank, short before long, then by arrival.
 #[must_use]
 pub fn next(waiting: &[Waiting], slots: Slots, now: Duration) -> Option<usize> {
     waiting
         .iter()
         .enumerate()
         .filter(|(_, w)| slots.admits(w.depth, w.long))
-        .min_by_key(|(_, w)| w.rank(now))
+        .min_by_key(|(_, w)| w.order(now))
         .map(|(at, _)| at)
 }
 
@@ -79,8 +95,7 @@
 #[must_use]
 pub fn expected_wait(
     waiting: &[Waiting],
-    depth: u8,
-    long: bool,
+    (depth, rank, long): (u8, u8, bool),
     slots: Slots,
     mean: Duration,
 ) -> Duration {
@@ -89,7 +104,7 @@
     }
     let ahead = waiting
         .iter()
-        .filter(|w| (w.depth == 0, w.long) <= (depth == 0, long))
+        .filter(|w| (w.depth == 0, w.rank, w.long) <= (depth == 0, rank, long))
         .count();
     let ahead = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
     mean.saturating_mul(ahead) / slots.cap(depth).max(1)
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -39,6 +39,12 @@
     pub audience: Audience,
     /// Size of the work, where the operator knows it.
     pub size: Size,
+    /// Longest time that a request is kept waiting, whatever its deadline.
+    pub timeout: Option<Duration>,
+    /// Targets that one request may be sent to.
+    pub attempts: u32,
+    /// Rank; 0 goes first.
+    pub rank: u8,
 }
 
 /// Who may use a route.
@@ -78,6 +84,10 @@
     pub answer_bytes: u64,
     /// Second attempts per hundred calls.
     pub retry_percent: u32,
+    /// Second attempts of the whole fleet beyond the share of traffic, in ten seconds.
+    pub retry_slack: u32,
+    /// Slots of a target that are used, in hundredths of those it states.
+    pub slot_percent: u32,
 }
 
 /// Budget for the work of measuring targets.
@@ -89,6 +99,30 @@
     pub targets_max: u32,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            queue: 64,
+            depth_levels: 1,
+            short_reserved: 0,
+            request_bytes: 64 << 10,
+            answer_bytes: 1 << 20,
+            retry_percent: 10,
+            retry_slack: 60,
+            slot_percent: 100,
+        }
+    }
+}
+
+impl Default for Measuring {
+    fn default() -> Self {
+        Self {
+            probes_per_minute: 0,
+            targets_max: 1,
+        }
+    }
+}
+
 impl Service {
     /// The first route that matches a method and a path.
     #[must_use]
--- a/crates/core/tests/model/actions.rs
+++ b/crates/core/tests/model/actions.rs
@@ -60,6 +60,9 @@
         ticket: world.ticket.clone(),
         retry_percent: 100,
         draw: 1,
+        attempts: 3,
+        objective: DEADLINE,
+        ..Request::default()
     };
     world.entry_step(entry, entry::Input::Call(request));
 }
--- a/crates/core/tests/model/documents.rs
+++ b/crates/core/tests/model/documents.rs
@@ -53,6 +53,7 @@
             request_bytes: 0,
             answer_bytes: 0,
             retry_percent: 0,
+            ..Limits::default()
         },
         measuring: Measuring {
             probes_per_minute: 0,
--- a/crates/core/tests/scenarios/script.rs
+++ b/crates/core/tests/scenarios/script.rs
@@ -51,6 +51,7 @@
             request_bytes: 0,
             answer_bytes: 0,
             retry_percent: 10,
+            ..Limits::default()
         };
         let slots = key(args, "slots", 1)?;
         let work = duration(args.take_key("work").unwrap_or("10ms"))?;
@@ -117,11 +118,14 @@
             route: route.into(),
             depth,
             remaining,
+            objective: remaining,
+            attempts: 3,
             once: route == "assign",
             fingerprint: number,
             ticket: self.engine.tickets.get(&number).cloned(),
             retry_percent: 10,
             draw: number,
+            ..Request::default()
         }
     }
 
--- a/crates/core/tests/scenarios/service.rs
+++ b/crates/core/tests/scenarios/service.rs
@@ -15,6 +15,9 @@
         owed: Duration::from_secs(1),
         audience: Audience::Everyone,
         size,
+        timeout: None,
+        attempts: 3,
+        rank: 0,
     };
     Service {
         name: SERVICE.into(),
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -81,7 +81,82 @@
         .with_client_auth_cert(chain, key)
         .map_err(rejected)?;
     client.alpn_protocols = vec![ALPN.to_vec()];
+    assemble(server, client)
+}
+
+/// Builds transport settings for daemons that have no keys: connections are
+/// encrypted, and neither end is authenticated.
+///
+/// # Errors
+/// [`TlsError`] if the library makes no keys.
+pub fn unauthenticated() -> Result<Transport, TlsError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let versions = &[&rustls::version::TLS13];
+    let own = rcgen::generate_simple_self_signed(vec![SERVER_NAME.to_owned()]).map_err(rejected)?;
+    let chain = vec![own.cert.der().clone()];
+    let key = PrivateKeyDer::try_from(own.signing_key.serialize_der()).map_err(rejected)?;
+    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(versions)
+        .map_err(rejected)?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .map_err(rejected)?;
+    server.alpn_protocols = vec![ALPN.to_vec()];
+    let mut client = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(versions)
+        .map_err(rejected)?
+        .dangerous()
+        .with_custom_certificate_verifier(Arc::new(Anyone(provider)))
+        .with_no_client_auth();
+    client.alpn_protocols = vec![ALPN.to_vec()];
+    assemble(server, client)
+}
+
+/// Accepts every certificate.
+#[derive(Debug)]
+struct Anyone(Arc<rustls::crypto::CryptoProvider>);
+
+impl rustls::client::danger::ServerCertVerifier for Anyone {
+    fn verify_server_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &rustls::pki_types::ServerName<'_>,
+        _: &[u8],
+        _: rustls::pki_types::UnixTime,
+    ) -> Result<rustls::client::danger::ServerCertVerified, rustls::Error> {
+        Ok(rustls::client::danger::ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &rustls::DigitallySignedStruct,
+    ) -> Result<rustls::client::danger::HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, certificate, signature, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &rustls::DigitallySignedStruct,
+    ) -> Result<rustls::client::danger::HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<rustls::SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
 
+fn assemble(
+    server: rustls::ServerConfig,
+    client: rustls::ClientConfig,
+) -> Result<Transport, TlsError> {
     let settings = Arc::new(settings()?);
     let crypto = QuicServerConfig::try_from(server).map_err(rejected)?;
     let mut server = quinn::ServerConfig::with_crypto(Arc::new(crypto));
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,7 +15,10 @@
 use tokio::net::TcpStream;
 use tokio::{task, time};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection that was idle for longer is closed; common servers keep theirs
+/// open for 5 s and more.
+pub const IDLE_MAX: Duration = Duration::from_secs(4);
 
 quick_error! {
     /// A request got no answer.
@@ -34,12 +37,13 @@
 }
 
 type Connection = SendRequest<Full<Bytes>>;
+type Idle = Rc<RefCell<Vec<(Connection, Instant)>>>;
 
 /// Connections to one address.
 #[derive(Clone)]
 pub struct Client {
     address: net::SocketAddr,
-    idle: Rc<RefCell<Vec<Connection>>>,
+    idle: Idle,
 }
 
 impl Client {
@@ -58,18 +62,20 @@
         self.address
     }
 
-    /// Sends a request once. A connection that closed before any byte was
-    /// written is replaced; the request goes out on the next one.
+    /// Sends a request once, on a connection that was idle for `idle_max` at
+    /// most. A connection that closed before any byte was written is replaced;
+    /// the request goes out on the next one.
     ///
     /// # Errors
     /// [`ClientError::Connect`] if nothing was sent, else [`ClientError::Broken`].
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
+        idle_max: Duration,
     ) -> Result<(Response<Incoming>, Lent), ClientError> {
         let mut request = request;
         loop {
-            let mut connection = self.connection().await?;
+            let mut connection = self.connection(idle_max).await?;
             match connection.try_send_request(request).await {
                 Ok(response) => return Ok((response, self.lend(connection))),
                 Err(mut err) => match err.take_message() {
@@ -87,8 +93,8 @@
         }
     }
 
-    async fn connection(&self) -> Result<Connection, ClientError> {
-        while let Some(mut connection) = self.take_idle() {
+    async fn connection(&self, idle_max: Duration) -> Result<Connection, ClientError> {
+        while let Some(mut connection) = self.take_idle(idle_max) {
             if connection.ready().await.is_ok() {
                 return Ok(connection);
             }
@@ -96,8 +102,15 @@
         self.connect().await
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        self.idle.borrow_mut().pop()
+    /// The connection that was used last, if it is not idle for too long.
+    fn take_idle(&self, idle_max: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|(connection, since)| !connection.is_closed() && since.elapsed() <= IDLE_MAX);
+        let (_, since) = idle.last()?;
+        if since.elapsed() > idle_max {
+            return None;
+        }
+        idle.pop().map(|(connection, _)| connection)
     }
 
     async fn connect(&self) -> Result<Connection, ClientError> {
@@ -125,14 +138,14 @@
 /// A connection in use; goes back once the answer's body was read.
 pub struct Lent {
     connection: Option<Connection>,
-    idle: Rc<RefCell<Vec<Connection>>>,
+    idle: Idle,
 }
 
 impl Lent {
     /// Gives the connection back after a whole answer.
     pub fn give_back(mut self) {
         if let Some(connection) = self.connection.take().filter(|c| !c.is_closed()) {
-            self.idle.borrow_mut().push(connection);
+            self.idle.borrow_mut().push((connection, Instant::now()));
         }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::cell::Cell;
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -38,6 +39,12 @@
     pub head_timeout: Duration,
 }
 
+/// Time that a connection may stay idle, as it is in force at the moment.
+pub type IdleTimeout = Rc<dyn Fn() -> Duration>;
+
+/// Least time between two checks of whether a connection is idle for too long.
+const IDLE_CHECK: Duration = Duration::from_secs(1);
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -57,6 +64,25 @@
 pub async fn serve<H, F>(
     listener: net::TcpListener,
     bounds: Bounds,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let idle: IdleTimeout = Rc::new(move || bounds.head_timeout);
+    serve_with_idle(listener, bounds, idle, stop, handler).await
+}
+
+/// Like [`serve`], with a bound on idle connections that may change.
+///
+/// # Errors
+/// The listener can not be used.
+pub async fn serve_with_idle<H, F>(
+    listener: net::TcpListener,
+    bounds: Bounds,
+    idle: IdleTimeout,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) -> std::io::Result<()>
@@ -84,7 +110,7 @@
             },
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let work = connection(stream, bounds, stop.clone(), handler.clone());
+        let work = connection(stream, bounds, idle.clone(), stop.clone(), handler.clone());
         open.spawn_local(async move {
             work.await;
             drop(permit);
@@ -99,6 +125,7 @@
 async fn connection<H, F>(
     stream: TcpStream,
     bounds: Bounds,
+    idle: IdleTimeout,
     mut stop: watch::Receiver<bool>,
     handler: Rc<H>,
 ) where
@@ -107,9 +134,16 @@
 {
     // Without it small answers wait for acknowledgements.
     let _ = stream.set_nodelay(true);
+    let used = Rc::new(Cell::new((0_u32, time::Instant::now())));
+    let using = used.clone();
     let service = service_fn(move |req| {
         let answer = handler(req);
-        Box::pin(async move { Ok::<_, Infallible>(answer.await) })
+        let open = Use::begin(using.clone());
+        Box::pin(async move {
+            let answer = answer.await;
+            drop(open);
+            Ok::<_, Infallible>(answer)
+        })
     });
     let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -118,8 +152,18 @@
         .max_headers(bounds.headers)
         .serve_connection(TokioIo::new(stream), service);
     let mut stopping = false;
+    let mut check = Box::pin(time::sleep(idle()));
     let result = loop {
         tokio::select! {
+            () = &mut check, if !stopping => {
+                let (open, since) = used.get();
+                if open == 0 && since.elapsed() >= idle() {
+                    Pin::new(&mut serving).graceful_shutdown();
+                    stopping = true;
+                }
+                let due = since + idle();
+                check.as_mut().reset(due.max(time::Instant::now() + IDLE_CHECK));
+            }
             result = poll_fn(|cx| serving.poll_without_shutdown(cx)) => break result,
             _ = stop.wait_for(|stop| *stop), if !stopping => {
                 Pin::new(&mut serving).graceful_shutdown();
@@ -130,6 +174,22 @@
     close(serving.into_parts().io.into_inner(), result).await;
 }
 
+/// A request that is being served on a connection.
+struct Use(Rc<Cell<(u32, time::Instant)>>);
+
+impl Use {
+    fn begin(used: Rc<Cell<(u32, time::Instant)>>) -> Self {
+        used.set((used.get().0 + 1, time::Instant::now()));
+        Self(used)
+    }
+}
+
+impl Drop for Use {
+    fn drop(&mut self) {
+        self.0.set((self.0.get().0 - 1, time::Instant::now()));
+    }
+}
+
 /// Closes a connection; the library says nothing to a caller whose head did
 /// not arrive in time.
 async fn close(mut stream: TcpStream, result: hyper::Result<()>) {
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -10,10 +10,10 @@
 
 const OWED_MAX_MS: u64 = 600_000;
 const BODY_MAX_BYTES: u64 = 16 << 20;
-const DEFAULT_QUEUE: u64 = 64;
-const DEFAULT_REQUEST_BYTES: u64 = 64 << 10;
-const DEFAULT_ANSWER_BYTES: u64 = 1 << 20;
-const DEFAULT_RETRY_PERCENT: u64 = 10;
+const DEFAULT_ATTEMPTS: u64 = 3;
+/// Rank of routes that state none; lower ones go first.
+const DEFAULT_RANK: u64 = 4;
+const RANK_MAX: u64 = 7;
 const METHODS: [(&str, &str); 6] = [
     ("GET", "GET"),
     ("HEAD", "HEAD"),
@@ -35,7 +35,7 @@
     let name = f.name("service");
     let internal_callers = f.names("internal_callers");
     let routes = f.mappings("routes", route);
-    let limits = f.optional_mapping("limits", default_limits(), limits);
+    let limits = f.optional_mapping("limits", Limits::default(), limits);
     let measuring = f.mapping("measuring", measuring);
     if let Some(routes) = &routes {
         unique_names(f, routes);
@@ -78,6 +78,9 @@
         ("long", Size::Long),
     ];
     let size = f.word("size", &sizes, Some(Size::Learned));
+    let timeout = f.number("timeout_ms", 0..=OWED_MAX_MS, Some(0));
+    let attempts = f.number("attempts", 1..=100, Some(DEFAULT_ATTEMPTS));
+    let rank = f.number("rank", 0..=RANK_MAX, Some(DEFAULT_RANK));
     Some(Route {
         name: name?,
         method: method?.into(),
@@ -86,35 +89,30 @@
         owed: Duration::from_millis(owed?),
         audience: audience?,
         size: size?,
+        timeout: timeout.map(|ms| (ms > 0).then(|| Duration::from_millis(ms)))?,
+        attempts: small(attempts?),
+        rank: u8::try_from(rank?).ok()?,
     })
 }
 
-fn default_limits() -> Limits {
-    Limits {
-        queue: small(DEFAULT_QUEUE),
-        depth_levels: 1,
-        short_reserved: 0,
-        request_bytes: DEFAULT_REQUEST_BYTES,
-        answer_bytes: DEFAULT_ANSWER_BYTES,
-        retry_percent: small(DEFAULT_RETRY_PERCENT),
-    }
-}
-
-fn limits(f: &mut Fields<'_, '_>) -> Option<Limits> {
-    let queue = f.number("queue", 0..=100_000, Some(DEFAULT_QUEUE));
-    let levels = f.number("depth_levels", 0..=7, Some(1));
-    let short = f.number("short_reserved", 0..=1000, Some(0));
+pub(crate) fn limits(f: &mut Fields<'_, '_>) -> Option<Limits> {
+    let default = Limits::default();
+    let queue = f.number("queue", 0..=100_000, Some(default.queue.into()));
+    let levels = f.number("depth_levels", 0..=7, Some(default.depth_levels.into()));
+    let short = f.number("short_reserved", 0..=1000, Some(default.short_reserved.into()));
     let request = f.number(
         "request_bytes",
         0..=BODY_MAX_BYTES,
-        Some(DEFAULT_REQUEST_BYTES),
+        Some(default.request_bytes),
     );
     let answer = f.number(
         "answer_bytes",
         0..=BODY_MAX_BYTES,
-        Some(DEFAULT_ANSWER_BYTES),
+        Some(default.answer_bytes),
     );
-    let retry = f.number("retry_percent", 0..=100, Some(DEFAULT_RETRY_PERCENT));
+    let retry = f.number("retry_percent", 0..=100, Some(default.retry_percent.into()));
+    let slack = f.number("retry_slack", 0..=100_000, Some(default.retry_slack.into()));
+    let used = f.number("slot_percent", 1..=100, Some(default.slot_percent.into()));
     Some(Limits {
         queue: small(queue?),
         depth_levels: u8::try_from(levels?).ok()?,
@@ -122,6 +120,8 @@
         request_bytes: request?,
         answer_bytes: answer?,
         retry_percent: small(retry?),
+        retry_slack: small(slack?),
+        slot_percent: small(used?),
     })
 }
 
--- a/crates/operator/src/fields.rs
+++ b/crates/operator/src/fields.rs
@@ -137,6 +137,19 @@
         Some(SmolStr::new(text))
     }
 
+    /// A field that may be absent; a reader gets its name.
+    #[expect(clippy::option_option, reason = "a wrong field is not an absent one")]
+    pub fn optional<T>(
+        &mut self,
+        name: &'static str,
+        reader: impl FnOnce(&mut Self, &'static str) -> Option<T>,
+    ) -> Option<Option<T>> {
+        match self.find(name) {
+            None => Some(None),
+            Some(_) => reader(self, name).map(Some),
+        }
+    }
+
     /// A name: lower-case letters, digits and hyphens.
     pub fn name(&mut self, name: &'static str) -> Option<SmolStr> {
         let text = self.text(name)?;
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use pollenrouter_core::id;
+use pollenrouter_core::service::Limits;
 use smol_str::SmolStr;
 
+use crate::document;
 use crate::fields::{self, Fields};
 use crate::finding::Finding;
 
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 60_000;
+/// A target is believed for three periods after an announcement.
+const DEFAULT_ANNOUNCE_PERIOD_MS: u64 = 1000;
 const STOP_TIMEOUT_MAX_MS: u64 = 3_600_000;
 
 /// Settings after checking.
@@ -21,27 +25,50 @@
     pub failure_domain: id::DomainName,
     /// Base address of the platform's object API.
     pub platform: SmolStr,
+    /// Whose names and formats are spoken.
+    pub profile: Profile,
+    /// Bounds that a platform of the users states, in its own form.
+    pub bounds: SmolStr,
+    /// Service of the target on this host, where it is known beforehand.
+    pub service: Option<id::ServiceName>,
+    /// Address of that target, where it is known beforehand.
+    pub target: Option<SocketAddr>,
+    /// Time between two announcements of a target.
+    pub announce_period: Duration,
     /// Addresses to listen on.
     pub listen: Listen,
-    /// Keys, in PEM.
-    pub keys: Keys,
+    /// Keys, in PEM; without them daemons do not authenticate each other.
+    pub keys: Option<Keys>,
+    /// Bounds of services whose configuration states none.
+    pub limits: Limits,
     /// Longest wait for calls in flight at a planned stop.
     pub stop_timeout: Duration,
     /// Level of logs.
     pub log: log::LevelFilter,
 }
 
+/// Whose names and formats are spoken with callers, targets and the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Profile {
+    /// The product's own.
+    Own,
+    /// Those of the users' platform.
+    Platform,
+}
+
 /// Addresses to listen on.
 #[derive(Clone, Copy, Debug)]
 pub struct Listen {
     /// For the public, TCP.
     pub public: SocketAddr,
-    /// For services, TCP.
-    pub internal: SocketAddr,
+    /// For services, TCP; without it they use the public one.
+    pub internal: Option<SocketAddr>,
     /// For the target on this host, TCP.
     pub target: SocketAddr,
     /// For operators, TCP.
     pub operator: SocketAddr,
+    /// For metrics besides the operators' address, TCP.
+    pub metrics: Option<SocketAddr>,
     /// For other daemons, UDP.
     pub daemons: SocketAddr,
 }
@@ -72,8 +99,19 @@
     if platform.as_ref().is_some_and(|p| !p.starts_with("http://")) {
         f.add("platform", "does not begin with `http://`");
     }
+    let profiles = [("own", Profile::Own), ("platform", Profile::Platform)];
+    let profile = f.word("profile", &profiles, Some(Profile::Own));
+    let bounds = f.optional("bounds", Fields::text);
+    let service = f.optional("service", Fields::name);
+    let target = f.optional("target", Fields::parsed);
+    let period = f.number(
+        "announce_period_ms",
+        1..=STOP_TIMEOUT_MAX_MS,
+        Some(DEFAULT_ANNOUNCE_PERIOD_MS),
+    );
     let listen = f.mapping("listen", listen);
-    let keys = f.mapping("keys", keys);
+    let keys = f.optional("keys", |f, name| f.mapping(name, keys));
+    let limits = f.optional_mapping("limits", Limits::default(), document::limits);
     let stop = f.number(
         "stop_timeout_ms",
         0..=STOP_TIMEOUT_MAX_MS,
@@ -90,8 +128,14 @@
         host: host?,
         failure_domain: failure_domain?,
         platform: platform?,
+        profile: profile?,
+        bounds: bounds?.unwrap_or_default(),
+        service: service?,
+        target: target?,
+        announce_period: Duration::from_millis(period?),
         listen: listen?,
         keys: keys?,
+        limits: limits?,
         stop_timeout: Duration::from_millis(stop?),
         log: log?,
     })
@@ -99,15 +143,17 @@
 
 fn listen(f: &mut Fields<'_, '_>) -> Option<Listen> {
     let public = f.parsed("public");
-    let internal = f.parsed("internal");
+    let internal = f.optional("internal", Fields::parsed);
     let target = f.parsed("target");
     let operator = f.parsed("operator");
+    let metrics = f.optional("metrics", Fields::parsed);
     let daemons = f.parsed("daemons");
     Some(Listen {
         public: public?,
         internal: internal?,
         target: target?,
         operator: operator?,
+        metrics: metrics?,
         daemons: daemons?,
     })
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,13 +4,22 @@
 
 use pollenrouter_core::{id, replica};
 use quick_error::quick_error;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use ureq::http::Request;
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+use crate::dialect::{self, Dialect};
+
+/// A healthy platform answers in milliseconds; one that is slower by this much is
+/// asked again.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for which a watch waits for changes.
-pub const WATCH_WAIT: Duration = Duration::from_secs(30);
+pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+const OK: u16 = 200;
+const CREATED: u16 = 201;
+const NOT_FOUND: u16 = 404;
+const CONFLICT: u16 = 409;
+const GONE: u16 = 410;
 
 quick_error! {
     /// A call to the platform failed.
@@ -20,6 +29,10 @@
         Conflict(key: SmolStr, named: id::Version, current: id::Version) {
             display("object `{key}` is at version {current}, the change is based on version {named}")
         }
+        /// The changes since the named revision are no longer there.
+        Compacted {
+            display("the platform no longer has the changes since that revision")
+        }
         /// No answer, or not one of the object API; a write may have taken effect.
         Unavailable(reason: String) {
             display("platform is unavailable: {reason}")
@@ -28,7 +41,7 @@
 }
 
 /// Objects as of a revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// The platform's revision.
     pub revision: id::Version,
@@ -36,27 +49,25 @@
     pub objects: Vec<replica::Object>,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Written {
-    version: id::Version,
-}
-
-#[derive(Serialize)]
-struct Write<'a> {
-    value: &'a str,
-}
-
 /// Client of one platform.
 #[derive(Clone, Debug)]
 pub struct Client {
     base: SmolStr,
+    dialect: Dialect,
     agent: ureq::Agent,
 }
 
 impl Client {
-    /// A client; `base` is an address such as `http://10.0.0.1:7000`.
+    /// A client of a platform that speaks the product's own object API; `base` is
+    /// an address such as `http://10.0.0.1:7000`.
     #[must_use]
     pub fn new(base: &str) -> Self {
+        Self::with_dialect(base, dialect::OWN)
+    }
+
+    /// A client of a platform with a dialect of its own.
+    #[must_use]
+    pub fn with_dialect(base: &str, dialect: Dialect) -> Self {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(CALL_TIMEOUT))
@@ -64,39 +75,72 @@
             .build();
         Self {
             base: base.trim_end_matches('/').into(),
+            dialect,
             agent: config.into(),
         }
     }
 
+    /// Prefixes of keys that are read and watched, each by calls of its own.
+    #[must_use]
+    pub fn prefixes(&self) -> &'static [&'static str] {
+        self.dialect.prefixes
+    }
+
     /// Reads one object.
     ///
     /// # Errors
     /// [`PlatformError::Unavailable`].
     pub fn get(&self, key: &str) -> Result<Option<replica::Object>, PlatformError> {
-        let (status, body) = self.call("GET", &format!("objects/{key}"), None, CALL_TIMEOUT)?;
-        match status {
-            200 => parse(&body).map(Some),
-            404 => Ok(None),
-            other => Err(unexpected(other)),
+        let path = (self.dialect.object)(key);
+        match self.read(&path, CALL_TIMEOUT)? {
+            (OK, body) => {
+                let object = (self.dialect.read_object)(key, &body).map_err(malformed)?;
+                Ok(Some(object))
+            }
+            (NOT_FOUND, _) => Ok(None),
+            (other, _) => Err(unexpected(other)),
         }
     }
 
-    /// Reads all objects whose keys begin with `prefix`.
+    /// Reads all objects whose keys begin with `prefix`; the revision is the lowest
+    /// one of its pages.
     ///
     /// # Errors
     /// [`PlatformError::Unavailable`].
     pub fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
-        let path = format!("objects?prefix={prefix}");
-        self.read(&path, CALL_TIMEOUT)
+        let mut whole = Listing {
+            revision: id::Version::MAX,
+            objects: Vec::new(),
+        };
+        let mut after = SmolStr::default();
+        loop {
+            let path = (self.dialect.list)(prefix, &after);
+            let body = match self.read(&path, CALL_TIMEOUT)? {
+                (OK, body) => body,
+                (other, _) => return Err(unexpected(other)),
+            };
+            let page = (self.dialect.read_page)(prefix, &body).map_err(malformed)?;
+            whole.revision = whole.revision.min(page.listing.revision);
+            whole.objects.extend(page.listing.objects);
+            match page.next {
+                Some(next) => after = next,
+                None => return Ok(whole),
+            }
+        }
     }
 
     /// Waits for objects that are newer than a revision.
     ///
     /// # Errors
-    /// [`PlatformError::Unavailable`].
-    pub fn watch(&self, after: id::Version) -> Result<Listing, PlatformError> {
-        let path = format!("watch?after={after}&wait_ms={}", WATCH_WAIT.as_millis());
-        self.read(&path, WATCH_WAIT + CALL_TIMEOUT)
+    /// [`PlatformError::Unavailable`], or [`PlatformError::Compacted`] if a listing
+    /// has to come first.
+    pub fn watch(&self, prefix: &str, after: id::Version) -> Result<Listing, PlatformError> {
+        let path = (self.dialect.watch)(prefix, after, WATCH_WAIT);
+        match self.read(&path, WATCH_WAIT + CALL_TIMEOUT)? {
+            (OK, body) => (self.dialect.read_changes)(prefix, &body).map_err(malformed),
+            (GONE, _) => Err(PlatformError::Compacted),
+            (other, _) => Err(unexpected(other)),
+        }
     }
 
     /// Writes an object if it is still at version `named`; 0 creates it.
@@ -110,17 +154,17 @@
         value: &str,
         named: id::Version,
     ) -> Result<id::Version, PlatformError> {
-        let path = format!("objects/{key}?if_version={named}");
-        let body = serde_json::to_string(&Write { value }).map_err(|err| unavailable(&err))?;
-        let (status, body) = self.call("PUT", &path, Some(&body), CALL_TIMEOUT)?;
-        let written: Written = match status {
-            200 | 409 => parse(&body)?,
-            other => return Err(unexpected(other)),
-        };
-        if status == 409 {
-            return Err(PlatformError::Conflict(key.into(), named, written.version));
+        let write = (self.dialect.write)(key, value, named);
+        let (status, body) =
+            self.call(write.method, &write.path, Some(write.body), CALL_TIMEOUT)?;
+        match status {
+            OK | CREATED => (self.dialect.read_version)(&body).map_err(malformed),
+            CONFLICT => {
+                let current = (self.dialect.read_version)(&body).map_err(malformed)?;
+                Err(PlatformError::Conflict(key.into(), named, current))
+            }
+            other => Err(unexpected(other)),
         }
-        Ok(written.version)
     }
 
     /// Writes an object like [`Client::put`]; after a failure or a conflict it
@@ -144,53 +188,55 @@
         }
     }
 
-    fn read<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T, PlatformError> {
-        let (status, body) = self.call("GET", path, None, timeout)?;
-        if status != 200 {
-            return Err(unexpected(status));
-        }
-        parse(&body)
+    fn read(&self, path: &str, timeout: Duration) -> Result<(u16, String), PlatformError> {
+        self.call("GET", path, None, timeout)
     }
 
     fn call(
         &self,
         method: &str,
         path: &str,
-        body: Option<&str>,
+        body: Option<String>,
         timeout: Duration,
     ) -> Result<(u16, String), PlatformError> {
-        let uri = format!("{}/{path}", self.base);
+        let failed = |err: &dyn std::fmt::Display| {
+            PlatformError::Unavailable(format!("{method} {path}: {err}"))
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}/{path}", self.base))
+            .header("content-type", "application/json");
         let answer = match body {
-            None => self
-                .agent
-                .get(&uri)
-                .config()
-                .timeout_global(Some(timeout))
-                .build()
-                .call(),
-            Some(body) => self
-                .agent
-                .put(&uri)
-                .config()
-                .timeout_global(Some(timeout))
-                .build()
-                .send(body),
+            None => request
+                .body(())
+                .map_err(ureq::Error::from)
+                .and_then(|request| self.run(request, timeout)),
+            Some(body) => request
+                .body(body)
+                .map_err(ureq::Error::from)
+                .and_then(|request| self.run(request, timeout)),
         };
-        let mut answer = answer.map_err(|err| unavailable(&format!("{method} {path}: {err}")))?;
+        let mut answer = answer.map_err(|err| failed(&err))?;
         let status = answer.status().as_u16();
         let text = answer.body_mut().read_to_string();
-        Ok((status, text.map_err(|err| unavailable(&err))?))
+        Ok((status, text.map_err(|err| failed(&err))?))
+    }
+
+    fn run<T: ureq::AsSendBody>(
+        &self,
+        request: Request<T>,
+        timeout: Duration,
+    ) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
+        let configured = self.agent.configure_request(request);
+        let request = configured.timeout_global(Some(timeout)).build();
+        self.agent.run(request)
     }
 }
 
-fn parse<T: DeserializeOwned>(body: &str) -> Result<T, PlatformError> {
-    serde_json::from_str(body).map_err(|err| unavailable(&err))
+fn malformed(reason: dialect::ReadError) -> PlatformError {
+    PlatformError::Unavailable(reason)
 }
 
 fn unexpected(status: u16) -> PlatformError {
     PlatformError::Unavailable(format!("status {status}"))
 }
-
-fn unavailable(err: &dyn std::fmt::Display) -> PlatformError {
-    PlatformError::Unavailable(err.to_string())
-}
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -2,12 +2,15 @@
 
 use std::net;
 
+use pollenrouter_core::gate::target::Life;
 use pollenrouter_core::id;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// Keys of service documents begin with this.
 pub const SERVICES: &str = "services/";
+/// Keys of routing tables that are written as a whole begin with this.
+pub const TABLES: &str = "tables/";
 /// Keys of members begin with this.
 pub const MEMBERS: &str = "members/";
 /// Keys of the rejections of a service's documents begin with this.
@@ -50,6 +53,9 @@
     pub address: net::SocketAddr,
     /// Whether it is there.
     pub state: MemberState,
+    /// Lives of targets on its host that have left, oldest first.
+    #[serde(default)]
+    pub departed: Vec<Life>,
     /// Latest changes, oldest first.
     pub changes: Vec<Change>,
 }
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -30,12 +30,15 @@
 struct Held {
     request: Request,
     depth: u8,
+    once: bool,
 }
 
 struct Caller {
     request: Request,
     service: id::ServiceName,
     begun: Duration,
+    /// A failure that a target reported, while another one is tried.
+    failure: Option<Answer>,
     reply_to: oneshot::Sender<Ending>,
 }
 
@@ -67,29 +70,42 @@
     instruments: Instruments,
 }
 
-/// A call with the route that it matched.
+/// What a daemon's calls have to know of it.
+pub struct Own {
+    /// Its host.
+    pub host: id::HostName,
+    /// Its failure domain.
+    pub failure_domain: id::DomainName,
+    /// Time for which a target is believed after an announcement.
+    pub announcement_ttl: Duration,
+}
+
+/// A call with what its service allows.
 pub struct Routed {
     /// The call.
     pub call: Box<Call>,
-    /// Its route.
-    pub route: service::Route,
     /// Second attempts per hundred calls.
     pub retry_percent: u32,
+    /// Second attempts of the whole fleet beyond that share, in ten seconds.
+    pub retry_slack: u32,
 }
 
 impl Calls {
     /// No calls yet.
     pub fn new(
-        host: id::HostName,
+        own: Own,
         incarnation: id::Incarnation,
         rings: Rings,
         instruments: Instruments,
     ) -> Self {
+        let gate = gate::Gate::new(incarnation, gate::RECORDS_MAX)
+            .with_announcement_ttl(own.announcement_ttl)
+            .unsynced();
         Self {
-            host,
+            host: own.host,
             origin: Instant::now(),
-            entry: entry::Entry::new(incarnation),
-            gate: gate::Gate::new(incarnation, gate::RECORDS_MAX),
+            entry: entry::Entry::new(incarnation).within(own.failure_domain),
+            gate,
             steps: VecDeque::new(),
             callers: HashMap::new(),
             held: HashMap::new(),
@@ -156,6 +172,7 @@
         let ending = Ending {
             kind,
             ticket: call.ticket,
+            retry_after: None,
         };
         // The caller may have left.
         let _ = call.reply_to.send(ending);
@@ -165,21 +182,27 @@
     pub fn call(&mut self, routed: Routed) {
         let Routed {
             call,
-            route,
             retry_percent,
+            retry_slack,
         } = routed;
         let call = *call;
+        let terms = call.route.terms;
         let begun = self.now();
+        let deadline = call.remaining.unwrap_or(terms.deadline);
         let request = entry::Request {
             token: call.token,
             service: call.service.clone(),
-            route: route.name,
+            route: call.route.name,
             depth: call.depth,
-            remaining: call.remaining.unwrap_or(route.owed),
-            once: !route.repeatable || call.ticket.is_some(),
+            rank: terms.rank,
+            remaining: terms.timeout.map_or(deadline, |timeout| timeout.min(deadline)),
+            objective: terms.objective,
+            attempts: terms.attempts,
+            once: !terms.repeatable || call.ticket.is_some(),
             fingerprint: routes::fingerprint(&call.head, &call.body),
             ticket: call.ticket,
             retry_percent,
+            retry_slack,
             draw: rand::random(),
         };
         let caller = Caller {
@@ -189,6 +212,7 @@
             },
             service: call.service,
             begun,
+            failure: None,
             reply_to: call.reply_to,
         };
         self.callers.insert(call.token, caller);
@@ -218,6 +242,21 @@
         self.run(Step::Gate(gate::Input::Announced(announcement)));
     }
 
+    /// The life of a target has left.
+    pub fn departed(&mut self, life: gate::target::Life) {
+        self.run(Step::Gate(gate::Input::Departed(life)));
+    }
+
+    /// Departures before this daemon's start are known.
+    pub fn synced(&mut self) {
+        self.run(Step::Gate(gate::Input::Synced));
+    }
+
+    /// The target reported its load.
+    pub fn reported(&mut self, report: gate::Report) {
+        self.run(Step::Gate(gate::Input::Reported(report)));
+    }
+
     /// The target is done with a call.
     pub fn finished(
         &mut self,
@@ -271,7 +310,8 @@
 
     /// A gate replied.
     pub fn replied(&mut self, host: id::HostName, id: id::CallId, replied: Replied) {
-        let lacks_answer = replied.reply == Reply::Answer && replied.answer.is_none();
+        let answers = matches!(replied.reply, Reply::Answer | Reply::Failure);
+        let lacks_answer = answers && replied.answer.is_none();
         let reply = if lacks_answer {
             Reply::Unknown(Doubt::AnswerNotKept)
         } else {
@@ -322,8 +362,12 @@
     }
 
     fn hold(&mut self, offer: &call::Offer, request: Request, waiter: Waiter) {
-        let depth = offer.depth;
-        self.held.entry(offer.id).or_insert(Held { request, depth });
+        let held = Held {
+            request,
+            depth: offer.depth,
+            once: offer.once,
+        };
+        self.held.entry(offer.id).or_insert(held);
         self.wait(offer.id, waiter);
     }
 
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -35,6 +35,12 @@
             entry::Output::Probe(host) => {
                 self.send(&host, Command::Probe);
             }
+            entry::Output::KeepFailure(token, _) => {
+                let failure = self.arrived.take();
+                if let Some(caller) = self.callers.get_mut(&token) {
+                    caller.failure = failure;
+                }
+            }
             entry::Output::Done(token, verdict, ticket) => self.done(now, token, verdict, ticket),
         }
     }
@@ -76,8 +82,13 @@
         let Some(caller) = self.callers.remove(&token) else {
             return;
         };
+        let answer = match verdict {
+            Verdict::Answer(_) => self.arrived.clone(),
+            Verdict::Failure(_) => self.arrived.clone().or(caller.failure),
+            _ => None,
+        };
         let (kind, outcome, reason) = match verdict {
-            Verdict::Answer(_) => match self.arrived.clone() {
+            Verdict::Answer(_) | Verdict::Failure(_) => match answer {
                 Some(answer) => (
                     EndingKind::Answer(answer.head, answer.body),
                     "answered",
@@ -98,8 +109,14 @@
         let took = now.saturating_sub(caller.begun);
         self.instruments
             .ended(&caller.service, outcome, &reason, took);
+        let retry_after = matches!(kind, EndingKind::NotRun(_))
+            .then(|| self.entry.retry_after(now, &caller.service));
         // The caller may have left.
-        let _ = caller.reply_to.send(Ending { kind, ticket });
+        let _ = caller.reply_to.send(Ending {
+            kind,
+            ticket,
+            retry_after,
+        });
     }
 
     pub(super) fn gate_output(&mut self, now: Duration, output: &gate::Output) {
@@ -143,6 +160,8 @@
             body: held.request.body,
             deadline: self.origin + deadline,
             depth: held.depth,
+            target: self.gate.life().map(|life| life.name.clone()).unwrap_or_default(),
+            once: held.once,
             answer_bytes: self.answer_bytes,
         };
         if self
@@ -166,7 +185,8 @@
     }
 
     fn reply_to(&mut self, id: id::CallId, waiter: Option<Waiter>, reply: Reply, hint: hint::Hint) {
-        let answer = self.answers.get(&id).filter(|_| reply == Reply::Answer);
+        let answers = matches!(reply, Reply::Answer | Reply::Failure);
+        let answer = self.answers.get(&id).filter(|_| answers);
         match waiter {
             None => {}
             Some(Waiter::Entry) => {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,21 +7,36 @@
 
 use log::{info, warn};
 use pollenrouter_core::membership::{self, Membership};
-use pollenrouter_core::{documents, entry, id, replica, service, share};
+use pollenrouter_core::gate::target::Life;
+use pollenrouter_core::{documents, entry, id, replica, service, share, table, tables};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
 use pollenrouter_platform::client::Listing;
 use pollenrouter_platform::object::{self, Member, MemberState};
 
+use crate::profile::Profile;
 use crate::registry::Write;
 
-/// What the listeners have to know of the documents in force.
+/// Departed lives that a member's object holds.
+const DEPARTED_MAX: usize = 16;
+
+/// What the listeners have to know.
 #[derive(Debug, Default)]
 pub struct Known {
-    /// Whether documents can come into force yet.
+    /// Whether a table can be in force yet.
     pub is_confirmed: bool,
-    /// Bounds on request bodies by service, bytes.
-    pub request_bytes: BTreeMap<id::ServiceName, u64>,
+    /// The table in force.
+    pub table: Option<Arc<table::Table>>,
+    /// Whether a planned stop has begun.
+    pub is_stopping: bool,
+}
+
+impl Known {
+    /// Whether callers may come.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_confirmed && self.table.is_some() && !self.is_stopping
+    }
 }
 
 /// [`Known`], shared with the listeners.
@@ -34,8 +49,13 @@
     Send(Command),
     /// The gates that the entry may pick from changed.
     Members(Vec<entry::Member>),
-    /// A document came into force.
+    /// What holds for a service came into force.
     Document(service::Service),
+    /// The life of a target on this host has left, and that will be known after a
+    /// restart of this daemon too.
+    Departed(Life),
+    /// Departures before this daemon's start are known.
+    Synced,
 }
 
 /// What a fleet shares with other threads.
@@ -55,6 +75,8 @@
     own: Member,
     membership: Membership,
     documents: documents::Documents,
+    tables: tables::Tables,
+    profile: Profile,
     members: BTreeMap<id::HostName, Member>,
     versions: BTreeMap<id::HostName, id::Version>,
     /// Version of this daemon's latest registration, once it took effect.
@@ -65,10 +87,12 @@
 
 impl Fleet {
     /// A fleet of which nothing is known but `own`, which registers.
-    pub fn new(own: Member, shared: Shared) -> Self {
+    pub fn new(own: Member, profile: Profile, shared: Shared) -> Self {
         let mut fleet = Self {
             membership: Membership::new(membership_member(&own)),
             documents: documents::Documents::default(),
+            tables: tables::Tables::default(),
+            profile,
             members: BTreeMap::new(),
             versions: BTreeMap::new(),
             registered_at: None,
@@ -85,6 +109,11 @@
         &self.documents
     }
 
+    /// The table in force.
+    pub fn table(&self) -> Option<&Arc<table::Table>> {
+        self.tables.get()
+    }
+
     /// All members that are known, also those that have left.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -125,17 +154,39 @@
         self.register();
     }
 
-    /// The platform was read in full.
+    /// The life of a target on this host leaves; tells when that will last.
+    pub fn depart(&mut self, life: Life) {
+        if self.own.departed.contains(&life) {
+            return;
+        }
+        self.own.departed.push(life);
+        let excess = self.own.departed.len().saturating_sub(DEPARTED_MAX);
+        self.own.departed.drain(..excess);
+        self.register();
+    }
+
+    /// A planned stop has begun.
+    pub fn stopping(&self) {
+        self.shared.set(|known| known.is_stopping = true);
+    }
+
+    /// The platform was read in full, as far as it holds documents.
     pub fn listed(&mut self, listing: Listing) -> Vec<Effect> {
         let input = membership::Input::Read(listing.objects, rand::random());
         let mut effects = self.step(input);
-        for change in self.documents.listed(listing.revision) {
-            self.document_changed(change, &mut effects);
+        if self.profile.table.is_some() {
+            return effects;
         }
+        let changes = self.documents.listed(listing.revision);
         let confirmed = self.documents.is_confirmed();
         self.shared.confirmed.store(confirmed, Ordering::Relaxed);
-        let known = self.shared.known.write();
-        known.unwrap_or_else(PoisonError::into_inner).is_confirmed = confirmed;
+        for change in changes {
+            self.document_changed(change, &mut effects);
+        }
+        if confirmed {
+            self.shared.set(|known| known.is_confirmed = true);
+            self.compile(&mut effects);
+        }
         effects
     }
 
@@ -201,20 +252,30 @@
             }
             return false;
         }
+        if object.key.starts_with(object::TABLES) {
+            self.table_changed(object, effects);
+            return false;
+        }
         if !object.key.starts_with(object::MEMBERS) {
             return false;
         }
         match serde_json::from_str::<Member>(&object.value) {
             Err(err) => warn!(key:% = object.key; "could not read a member: {err}"),
-            Ok(member) => self.member_changed(member, object.version),
+            Ok(member) => self.member_changed(member, object.version, effects),
         }
         true
     }
 
-    fn member_changed(&mut self, member: Member, version: id::Version) {
+    fn member_changed(
+        &mut self,
+        member: Member,
+        version: id::Version,
+        effects: &mut Vec<Effect>,
+    ) {
         let own_life = member.host == self.own.host && member.incarnation == self.own.incarnation;
         if own_life {
             self.documents.registered(version);
+            self.registered(&member, effects);
             let is_latest = member.state == self.own.state && member.service == self.own.service;
             self.registered_at = is_latest.then_some(version);
         }
@@ -236,8 +297,7 @@
         match change {
             documents::Change::InForce { from, to, service } => {
                 info!(service:% = service.name, from, to; "document in force");
-                self.limits_changed(&service);
-                effects.push(Effect::Document(service));
+                self.compile(effects);
             }
             documents::Change::Rejected {
                 name,
@@ -254,11 +314,50 @@
         }
     }
 
-    fn limits_changed(&self, service: &service::Service) {
-        let known = self.shared.known.write();
-        let mut known = known.unwrap_or_else(PoisonError::into_inner);
-        let bytes = service.limits.request_bytes;
-        known.request_bytes.insert(service.name.clone(), bytes);
+    /// This daemon's own object stands at the platform.
+    fn registered(&mut self, member: &Member, effects: &mut Vec<Effect>) {
+        for life in &member.departed {
+            if !self.own.departed.contains(life) {
+                self.own.departed.push(life.clone());
+            }
+            effects.push(Effect::Departed(life.clone()));
+        }
+        effects.push(Effect::Synced);
+    }
+
+    /// Compiles the documents in force into the table in force.
+    fn compile(&mut self, effects: &mut Vec<Effect>) {
+        let callers = table::CallerLimits::default();
+        let table = table::Table::of_documents(self.documents.in_force(), callers);
+        self.learn(table, effects);
+    }
+
+    fn table_changed(&mut self, object: &replica::Object, effects: &mut Vec<Effect>) {
+        let Some(read) = self.profile.table else {
+            return;
+        };
+        match read(&object.value, &self.profile.limits) {
+            Ok(table) => {
+                self.shared.set(|known| known.is_confirmed = true);
+                self.learn(table, effects);
+            }
+            Err(findings) => {
+                let text = findings.join("; ");
+                warn!(key:% = object.key, revision = object.version; "table rejected: {text}");
+            }
+        }
+    }
+
+    fn learn(&mut self, table: table::Table, effects: &mut Vec<Effect>) {
+        let Some(tables::Change { from, to }) = self.tables.learn(table) else {
+            return;
+        };
+        info!(from, to; "table in force");
+        let Some(table) = self.tables.get().cloned() else {
+            return;
+        };
+        effects.extend(table.services.values().cloned().map(Effect::Document));
+        self.shared.set(|known| known.table = Some(table));
     }
 
     fn members_changed(&mut self, effects: &mut Vec<Effect>) {
@@ -289,6 +388,13 @@
     }
 }
 
+impl Shared {
+    fn set(&self, change: impl FnOnce(&mut Known)) {
+        let known = self.known.write();
+        change(&mut known.unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
 /// Verdict on a document as it stands at the platform.
 fn verdict(name: &id::ServiceName, value: &str) -> documents::Verdict {
     let held: object::Document = serde_json::from_str(value)
@@ -318,6 +424,7 @@
         host: member.host.clone(),
         incarnation: member.incarnation,
         service: member.service.clone()?,
+        failure_domain: member.failure_domain.clone(),
         serving: member.state == MemberState::Serving,
     })
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod instruments;
 mod logging;
+mod profile;
 mod registry;
 mod router;
 mod routes;
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -55,42 +55,60 @@
     confirmed: Arc<AtomicBool>,
     tx: event::Sender,
 ) -> Result<(), Error> {
-    let work = move || {
-        let mut revision = list(&client, &tx);
-        while !confirmed.load(Ordering::Relaxed) {
-            thread::sleep(CONFIRM_PAUSE);
-            revision = list(&client, &tx);
-        }
-        loop {
-            if watching.load(Ordering::Relaxed) {
-                revision = watch(&client, &tx, revision);
-            } else if !wait_for_duty(&watching) {
-                revision = list(&client, &tx);
+    for prefix in client.prefixes() {
+        let (client, tx) = (client.clone(), tx.clone());
+        let (watching, confirmed) = (watching.clone(), confirmed.clone());
+        let work = move || {
+            let mut revision = list(&client, prefix, &tx);
+            while holds_documents(prefix) && !confirmed.load(Ordering::Relaxed) {
+                thread::sleep(CONFIRM_PAUSE);
+                revision = list(&client, prefix, &tx);
             }
-        }
-    };
-    thread::Builder::new()
-        .name("reader".to_owned())
-        .spawn(work)?;
+            loop {
+                if watching.load(Ordering::Relaxed) {
+                    revision = watch(&client, prefix, &tx, revision);
+                } else if !wait_for_duty(&watching) {
+                    revision = list(&client, prefix, &tx);
+                }
+            }
+        };
+        thread::Builder::new()
+            .name("reader".to_owned())
+            .spawn(work)?;
+    }
     Ok(())
 }
 
+/// Documents come into force only after a read that is fresh enough.
+fn holds_documents(prefix: &str) -> bool {
+    object::SERVICES.starts_with(prefix)
+}
+
 /// Reads everything, however long it takes.
-fn list(client: &Client, tx: &event::Sender) -> id::Version {
-    let listing = retry("read the platform", || client.list(""));
+fn list(client: &Client, prefix: &str, tx: &event::Sender) -> id::Version {
+    let listing = retry("read the platform", || client.list(prefix));
     let revision = listing.revision;
     event::deliver(tx, Event::Listed(listing));
     revision
 }
 
-fn watch(client: &Client, tx: &event::Sender, revision: id::Version) -> id::Version {
-    match client.watch(revision) {
+fn watch(
+    client: &Client,
+    prefix: &str,
+    tx: &event::Sender,
+    revision: id::Version,
+) -> id::Version {
+    match client.watch(prefix, revision) {
         Ok(listing) => {
             if !listing.objects.is_empty() {
                 event::deliver(tx, Event::Read(listing.objects));
             }
             listing.revision.max(revision)
         }
+        Err(PlatformError::Compacted) => {
+            info!(prefix, revision; "the platform dropped its history, reading all of it");
+            list(client, prefix, tx)
+        }
         Err(err) => {
             warn!("could not watch the platform: {err}");
             thread::sleep(RETRY_PAUSE);
@@ -142,15 +160,22 @@
 
 type Written = Result<Option<replica::Object>, PlatformError>;
 
+/// Writes this daemon's object; what an earlier life of it left there is kept.
 fn register(client: &Client, member: &Member, author: &str) -> Written {
     let key = object::member_key(&member.host);
+    let created = put(client, &key, member.clone(), 0, author);
+    if !matches!(created, Err(PlatformError::Conflict(..))) {
+        return created;
+    }
     let held = client.get(&key)?;
     let version = held.as_ref().map_or(0, |object| object.version);
     let mut member = member.clone();
-    member.changes = held
-        .as_ref()
-        .and_then(parse)
-        .map_or_else(Vec::new, |m| m.changes);
+    if let Some(held) = held.as_ref().and_then(parse) {
+        member.changes = held.changes;
+        let known = std::mem::take(&mut member.departed);
+        let new = known.iter().filter(|life| !held.departed.contains(life));
+        member.departed = held.departed.iter().chain(new).cloned().collect();
+    }
     put(client, &key, member, version, author)
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,17 +1,18 @@
 //! The router: takes events in order and decides.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use log::info;
 use pollenrouter_caller::message as caller;
+use pollenrouter_core::gate::target::Life;
 use pollenrouter_core::{bucket, id, membership};
 use pollenrouter_daemon::message as daemon;
 use pollenrouter_platform::object::MemberState;
 use pollenrouter_target::message as target;
-use tokio::sync::mpsc as ring;
+use tokio::sync::{mpsc as ring, oneshot};
 
-use crate::calls::Calls;
+use crate::calls::{Calls, Routed};
 use crate::event::Event;
 use crate::fleet::{Effect, Fleet};
 use crate::routes;
@@ -30,6 +31,10 @@
     probes: bucket::Bucket,
     stop_timeout: Duration,
     stopping_since: Option<Duration>,
+    /// Whether a target's life is known to the platform to have left.
+    departed: BTreeSet<Life>,
+    /// Targets that leave and wait until that will last.
+    leaving: Vec<(Life, oneshot::Sender<()>)>,
 }
 
 impl Router {
@@ -50,6 +55,8 @@
             probes: bucket::Bucket::default(),
             stop_timeout,
             stopping_since: None,
+            departed: BTreeSet::new(),
+            leaving: Vec::new(),
         }
     }
 
@@ -92,9 +99,18 @@
     fn caller(&mut self, event: caller::Event) {
         match event {
             caller::Event::Call(call) => {
-                match routes::route(self.fleet.documents(), self.service.as_ref(), call) {
-                    Ok(routed) => self.calls.call(routed),
-                    Err((call, refusal)) => self.calls.refuse(call, refusal),
+                let table = self.fleet.table().map(AsRef::as_ref);
+                let document = table.and_then(|table| table.services.get(&call.service));
+                let limits = document.map(|document| &document.limits);
+                let (retry_percent, retry_slack) =
+                    limits.map_or((0, 0), |limits| (limits.retry_percent, limits.retry_slack));
+                match routes::admit(table, self.service.as_ref(), &call) {
+                    Ok(()) => self.calls.call(Routed {
+                        call,
+                        retry_percent,
+                        retry_slack,
+                    }),
+                    Err(refusal) => self.calls.refuse(call, refusal),
                 }
             }
             caller::Event::Gone(token) => self.calls.gone(token),
@@ -127,14 +143,8 @@
 
     fn target(&mut self, event: target::Event) {
         match event {
-            target::Event::Announced(announcement, _) => {
-                let service = announcement.service.clone();
-                self.calls.announced(announcement);
-                if self.service.as_ref() != Some(&service) {
-                    self.serve(service);
-                }
-                self.update_state();
-            }
+            target::Event::Heard(heard, reply_to) => self.heard(heard, reply_to),
+            target::Event::Reported(report) => self.calls.reported(report),
             target::Event::Finished(id, outcome, answer) => {
                 self.calls.finished(id, outcome, answer);
             }
@@ -145,9 +155,71 @@
         }
     }
 
+    fn heard(&mut self, heard: target::Heard, reply_to: oneshot::Sender<()>) {
+        match heard {
+            target::Heard::Announced(announcement, address) => {
+                let life = announcement.life.clone();
+                let leaves = announcement.draining && !life.name.is_empty();
+                let service = announcement.service.clone();
+                self.calls.announced(announcement);
+                if self.calls.gate().life() == Some(&life) {
+                    // A full ring keeps the address that was known.
+                    let _ = self.target.try_send(target::Command::Use(address));
+                }
+                if self.service.as_ref() != Some(&service) {
+                    self.serve(service);
+                }
+                self.update_state();
+                if leaves {
+                    self.departs(life, reply_to);
+                } else {
+                    acknowledge(reply_to);
+                }
+            }
+            target::Heard::Departs(life) => self.departs(self.full_life(life), reply_to),
+        }
+    }
+
+    /// The life that a target means which does not say when it started.
+    fn full_life(&self, life: Life) -> Life {
+        match self.calls.gate().life() {
+            Some(current) if life.born == 0 && current.name == life.name => current.clone(),
+            _ => life,
+        }
+    }
+
+    /// A target leaves: nothing more goes to it, and that is acknowledged once a
+    /// restart of this daemon does not undo it.
+    fn departs(&mut self, life: Life, reply_to: oneshot::Sender<()>) {
+        self.calls.departed(life.clone());
+        self.update_state();
+        if self.departed.contains(&life) {
+            acknowledge(reply_to);
+            return;
+        }
+        info!(target:% = life.name, born = life.born; "target leaves");
+        self.fleet.depart(life.clone());
+        self.leaving.push((life, reply_to));
+    }
+
+    /// That a target has left stands at the platform.
+    fn departure_kept(&mut self, life: Life) {
+        self.calls.departed(life.clone());
+        let (kept, waiting) = std::mem::take(&mut self.leaving)
+            .into_iter()
+            .partition(|(leaving, _)| *leaving == life);
+        self.leaving = waiting;
+        let kept: Vec<(Life, oneshot::Sender<()>)> = kept;
+        for (_, reply_to) in kept {
+            acknowledge(reply_to);
+        }
+        self.departed.insert(life);
+    }
+
     fn serve(&mut self, service: id::ServiceName) {
         info!(service:%; "target announced itself");
-        if let Some((_, document)) = self.fleet.documents().get(&service) {
+        let table = self.fleet.table();
+        if let Some(document) = table.and_then(|table| table.services.get(&service)) {
             self.calls.document(document.clone());
         }
         self.service = Some(service);
@@ -180,7 +252,8 @@
         let Some(service) = &self.service else {
             return;
         };
-        let Some((_, document)) = self.fleet.documents().get(service) else {
+        let table = self.fleet.table();
+        let Some(document) = table.and_then(|table| table.services.get(service)) else {
             return;
         };
         let rate = bucket::Rate {
@@ -219,6 +292,11 @@
                         self.calls.document(document);
                     }
                 }
+                Effect::Departed(life) => self.departure_kept(life),
+                Effect::Synced => {
+                    self.calls.synced();
+                    self.update_state();
+                }
             }
         }
     }
@@ -230,6 +308,7 @@
         info!("planned stop: no new work, finishing calls in flight");
         self.stopping_since = Some(self.calls.now());
         self.calls.drain();
+        self.fleet.stopping();
         self.update_state();
     }
 
@@ -241,3 +320,8 @@
         (waited >= LINGER && self.calls.is_idle()) || waited >= self.stop_timeout.max(LINGER)
     }
 }
+
+/// Tells a target that its word was taken; it may have given up on that.
+fn acknowledge(reply_to: oneshot::Sender<()>) {
+    let _ = reply_to.send(());
+}
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -1,43 +1,58 @@
-//! From a caller's call to the route that the document in force gives it.
+//! From a caller's request to its route in the table in force.
 
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
 use bytes::Bytes;
+use pollenrouter_caller::listener::{Found, Matched};
 use pollenrouter_caller::message::Call;
+use pollenrouter_caller::request;
 use pollenrouter_core::call::Refusal;
-use pollenrouter_core::{documents, exchange, id, service};
+use pollenrouter_core::{exchange, id, service, table};
 
-use crate::calls::Routed;
+use crate::fleet::Known;
 
-/// Finds the route of a call.
+/// Finds the route of a request.
+pub fn find(known: &Known, req: &request::Parsed) -> Found {
+    let Some(table) = known.table.as_ref().filter(|_| known.is_confirmed) else {
+        return Found::NotReady;
+    };
+    let Some(route) = table.route(&req.host, &req.method, req.plain_path()) else {
+        return Found::NoRoute;
+    };
+    let Some(service) = route.service(rand::random()) else {
+        return Found::NoRoute;
+    };
+    let limits = table.services.get(service).map(|service| &service.limits);
+    let bytes = limits.map_or(u64::MAX, |limits| limits.request_bytes);
+    Found::Route(Box::new(Matched {
+        service: service.clone(),
+        body_bytes: bytes.min(table.callers.body_bytes),
+        route: route.clone(),
+    }))
+}
+
+/// Whether the caller may call at all.
 ///
 /// # Errors
-/// The call, with the reason why it is refused.
-pub fn route(
-    documents: &documents::Documents,
+/// The reason why not.
+pub fn admit(
+    table: Option<&table::Table>,
     own: Option<&id::ServiceName>,
-    call: Box<Call>,
-) -> Result<Routed, (Box<Call>, Refusal)> {
-    let Some((_, document)) = documents.get(&call.service) else {
-        return Err((call, Refusal::NoDocument));
+    call: &Call,
+) -> Result<(), Refusal> {
+    let document = table.and_then(|table| table.services.get(&call.service));
+    let Some(document) = document else {
+        return Err(Refusal::NoDocument);
     };
-    let path = call.head.path.split('?').next().unwrap_or_default();
-    let Some(route) = document.route(&call.head.method, path) else {
-        return Err((call, Refusal::NoRoute));
-    };
-    if call.depth == 0 && route.audience == service::Audience::Internal {
-        return Err((call, Refusal::NotPublic));
+    if call.depth == 0 && call.route.terms.audience == service::Audience::Internal {
+        return Err(Refusal::NotPublic);
     }
     // Services call by the daemon on their own host.
     if call.depth > 0 && !document.admits(own) {
-        return Err((call, Refusal::NotCaller));
+        return Err(Refusal::NotCaller);
     }
-    Ok(Routed {
-        route: route.clone(),
-        retry_percent: document.limits.retry_percent,
-        call,
-    })
+    Ok(())
 }
 
 /// Digest by which a ticket stays with one request.
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -1,5 +1,6 @@
 //! Threads of a daemon, one for each duty, and the bounded rings between them.
 
+use std::iter;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -9,37 +10,43 @@
 
 use log::info;
 use pollenrouter_caller::listener as callers;
-use pollenrouter_core::{id, membership, service};
+use pollenrouter_core::{id, membership, service, table};
 use pollenrouter_daemon::{keys, message as daemon, peer, tls};
 use pollenrouter_operator::{listener as operators, settings};
 use pollenrouter_platform::client::Client;
 use pollenrouter_platform::object::{Member, MemberState};
+use pollenrouter_http::convention::Convention;
 use pollenrouter_target::{announcement, message as target, sender};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::sync::{mpsc as ring, watch};
 use tokio::{runtime, task};
 
-use crate::calls::{Calls, Rings};
+use crate::calls::{Calls, Own, Rings};
 use crate::error::Error;
 use crate::event::{self, Event};
 use crate::fleet::{Fleet, Shared, SharedKnown};
 use crate::instruments;
+use crate::profile::Profile;
 use crate::registry;
 use crate::router::Router;
+use crate::routes;
 use crate::timer::Timer;
 
 /// Commands that may wait for the protocol, and for the target's client.
 const RING: usize = 4096;
+/// Announcements in a row that may fail to come before a target counts as gone.
+const ANNOUNCEMENTS_MISSED: u32 = 3;
 const TICK: Duration = Duration::from_millis(25);
 /// Time for the last write to the platform and the last answers.
 const LAST_WRITES: Duration = Duration::from_secs(1);
 
 struct Sockets {
     public: TcpListener,
-    internal: TcpListener,
+    internal: Option<TcpListener>,
     target: TcpListener,
     operator: TcpListener,
+    metrics: Option<TcpListener>,
     daemons: UdpSocket,
 }
 
@@ -48,6 +55,10 @@
     sockets: Sockets,
     transport: tls::Transport,
     incarnation: id::Incarnation,
+    convention: Convention,
+    announcements: announcement::Read,
+    service: Option<id::ServiceName>,
+    target: Option<SocketAddr>,
     commands: ring::Receiver<daemon::Command>,
     target_commands: ring::Receiver<target::Command>,
     known: SharedKnown,
@@ -59,11 +70,15 @@
 
 /// Runs a daemon until a planned stop is done.
 pub fn run(settings: &settings::Settings) -> Result<(), Error> {
-    let transport = tls::transport(&keys::Keys {
-        authority: settings.keys.authority.to_string(),
-        certificate: settings.keys.certificate.to_string(),
-        key: settings.keys.key.to_string(),
-    })?;
+    let profile = Profile::of(settings)?;
+    let transport = match &settings.keys {
+        None => tls::unauthenticated()?,
+        Some(keys) => tls::transport(&keys::Keys {
+            authority: keys.authority.to_string(),
+            certificate: keys.certificate.to_string(),
+            key: keys.key.to_string(),
+        })?,
+    };
     let sockets = bind(&settings.listen)?;
     let (tx, rx) = ring::channel(event::RING);
     let (daemons, daemon_commands) = ring::channel(RING);
@@ -77,7 +92,7 @@
 
     let own = member(settings, incarnation, sockets.daemons.local_addr()?);
     log_start(&own, &sockets)?;
-    let client = Client::new(&settings.platform);
+    let client = Client::with_dialect(&settings.platform, profile.dialect);
     registry::start_writer(
         client.clone(),
         settings.host.clone(),
@@ -96,14 +111,25 @@
         daemons: daemons.clone(),
         target: to_target.clone(),
     };
-    let calls = Calls::new(settings.host.clone(), incarnation, rings, instruments);
-    let fleet = Fleet::new(own, shared);
-    let router = Router::new(fleet, calls, daemons, to_target, settings.stop_timeout);
+    let own_calls = Own {
+        host: settings.host.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        announcement_ttl: settings.announce_period * ANNOUNCEMENTS_MISSED,
+    };
+    let calls = Calls::new(own_calls, incarnation, rings, instruments);
+    let stop_timeout = profile.stop_timeout;
+    let (convention, announcements) = (profile.convention, profile.announcements);
+    let fleet = Fleet::new(own, profile, shared);
+    let router = Router::new(fleet, calls, daemons, to_target, stop_timeout);
 
     let work = Work {
         sockets,
         transport,
         incarnation,
+        convention,
+        announcements,
+        service: settings.service.clone(),
+        target: settings.target,
         commands: daemon_commands,
         target_commands,
         known,
@@ -131,10 +157,15 @@
     Member {
         host: settings.host.clone(),
         failure_domain: settings.failure_domain.clone(),
-        service: None,
+        service: settings.service.clone(),
         incarnation,
         address,
-        state: MemberState::Leaving,
+        state: if settings.service.is_some() {
+            MemberState::Serving
+        } else {
+            MemberState::Leaving
+        },
+        departed: Vec::new(),
         changes: Vec::new(),
     }
 }
@@ -144,20 +175,29 @@
         |name, address| TcpListener::bind(address).map_err(|err| Error::Listen(name, address, err));
     Ok(Sockets {
         public: tcp("public", listen.public)?,
-        internal: tcp("internal", listen.internal)?,
+        internal: listen
+            .internal
+            .map(|address| tcp("internal", address))
+            .transpose()?,
         target: tcp("target", listen.target)?,
         operator: tcp("operator", listen.operator)?,
+        metrics: listen
+            .metrics
+            .map(|address| tcp("metrics", address))
+            .transpose()?,
         daemons: UdpSocket::bind(listen.daemons)
             .map_err(|err| Error::Listen("daemons", listen.daemons, err))?,
     })
 }
 
 fn log_start(own: &Member, sockets: &Sockets) -> Result<(), Error> {
+    let internal = sockets.internal.as_ref().map(TcpListener::local_addr);
+    let internal = internal.transpose()?;
     info!(
         host:% = own.host,
         incarnation:% = format!("{:x}", own.incarnation),
         public:% = sockets.public.local_addr()?,
-        internal:% = sockets.internal.local_addr()?,
+        internal:? = internal,
         announcements:% = sockets.target.local_addr()?,
         operator:% = sockets.operator.local_addr()?,
         daemons:% = own.address;
@@ -173,6 +213,10 @@
         sockets,
         transport,
         incarnation,
+        convention,
+        announcements,
+        service,
+        target,
         commands,
         target_commands,
         known,
@@ -191,37 +235,59 @@
         commands,
         sink,
     ));
+    let events = tx.clone();
+    let sender = sender::Sender::new(
+        convention,
+        Rc::new(move |event| events.try_send(Event::Target(event)).or_else(returned)),
+    );
+    let announced = announcement::Context {
+        read: announcements,
+        sender: sender.clone(),
+        service: service.clone(),
+        address: target,
+    };
     start_target(
         sockets.target,
+        announced,
         target_commands,
-        tx.clone(),
         stopping.clone(),
     );
-    start_operators(sockets.operator, metrics, tx.clone(), stopping.clone());
-    let cx = callers_context(known, tx);
-    let everyone = service::Audience::Everyone;
-    let internal = service::Audience::Internal;
-    let public = callers::serve(sockets.public, everyone, cx.clone(), stopping.clone());
-    let internal = callers::serve(sockets.internal, internal, cx, stopping);
-    let (public, internal) = (task::spawn_local(public), task::spawn_local(internal));
+    let operators = operators_context(&convention, &known, metrics, tx.clone());
+    for listener in iter::once(sockets.operator).chain(sockets.metrics) {
+        task::spawn_local(operators::serve(
+            listener,
+            operators.clone(),
+            stopping.clone(),
+        ));
+    }
+    let mut cx = callers_context(convention, known, tx);
+    cx.own_service = service;
+    let audiences = [service::Audience::Everyone, service::Audience::Internal];
+    let listeners = iter::once(sockets.public).chain(sockets.internal);
+    let serving: Vec<_> = listeners
+        .zip(audiences)
+        .map(|(listener, audience)| {
+            let serving = callers::serve(listener, audience, cx.clone(), stopping.clone());
+            task::spawn_local(serving)
+        })
+        .collect();
     router.run(rx).await;
     stop.send_replace(true);
-    public.await??;
-    internal.await??;
+    for listener in serving {
+        listener.await??;
+    }
     peers.await??;
     Ok(())
 }
 
 fn start_target(
     listener: TcpListener,
+    cx: announcement::Context,
     mut commands: ring::Receiver<target::Command>,
-    tx: event::Sender,
     stopping: watch::Receiver<bool>,
 ) {
-    let sender = sender::Sender::new(Rc::new(move |event| {
-        tx.try_send(Event::Target(event)).or_else(returned)
-    }));
-    task::spawn_local(announcement::serve(listener, sender.clone(), stopping));
+    let sender = cx.sender.clone();
+    task::spawn_local(announcement::serve(listener, cx, stopping));
     task::spawn_local(async move {
         while let Some(command) = commands.recv().await {
             sender.run(command);
@@ -238,30 +304,44 @@
     }
 }
 
-fn start_operators(
-    listener: TcpListener,
+fn operators_context(
+    convention: &Convention,
+    known: &SharedKnown,
     metrics: prometheus::Registry,
     tx: event::Sender,
-    stopping: watch::Receiver<bool>,
-) {
-    let status: operators::Status =
-        Arc::new(move |reply_to| event::offer(&tx, Event::Status(reply_to)));
-    let metrics: operators::Metrics = Arc::new(move || instruments::render(&metrics));
-    task::spawn_local(operators::serve(listener, status, metrics, stopping));
+) -> operators::Context {
+    let known = known.clone();
+    operators::Context {
+        status: Arc::new(move |reply_to| event::offer(&tx, Event::Status(reply_to))),
+        metrics: Arc::new(move || instruments::render(&metrics)),
+        ready: Arc::new(move || {
+            let known = known.read().unwrap_or_else(PoisonError::into_inner);
+            known.is_ready()
+        }),
+        ready_path: convention.ready_path,
+    }
 }
 
-fn callers_context(known: SharedKnown, tx: event::Sender) -> callers::Context {
+fn callers_context(
+    convention: Convention,
+    known: SharedKnown,
+    tx: event::Sender,
+) -> callers::Context {
+    let bounds = known.clone();
     callers::Context {
         sink: Arc::new(move |event| event::offer(&tx, Event::Caller(event))),
-        body_limit: Arc::new(move |service| {
+        lookup: Arc::new(move |req| {
             let known = known.read().unwrap_or_else(PoisonError::into_inner);
-            match known.request_bytes.get(service) {
-                Some(bytes) => callers::BodyLimit::Bytes(*bytes),
-                None if known.is_confirmed => callers::BodyLimit::NoService,
-                None => callers::BodyLimit::NotReady,
-            }
+            routes::find(&known, req)
+        }),
+        limits: Arc::new(move || {
+            let known = bounds.read().unwrap_or_else(PoisonError::into_inner);
+            let table = known.table.as_ref();
+            table.map_or_else(table::CallerLimits::default, |table| table.callers)
         }),
         tokens: Arc::new(AtomicU64::new(1)),
+        convention,
+        own_service: None,
     }
 }
 
--- a/crates/target/src/announcement.rs
+++ b/crates/target/src/announcement.rs
@@ -8,18 +8,35 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use log::warn;
 use pollenrouter_core::{gate, id};
 use pollenrouter_http::{body, problem, server};
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use smol_str::SmolStr;
+use tokio::sync::{oneshot, watch};
+use tokio::time;
 
-use crate::message::Event;
+use crate::message::{Event, Heard};
 use crate::sender;
 
 /// Path of announcements.
 pub const PATH: &str = "/.pollenrouter/target";
 const BODY_MAX_BYTES: u64 = 4096;
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
+/// A target takes an acknowledgement within a second; it asks again after that.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Reads what a target says, from the method, the path and the body of a request.
+pub type Read = fn(&Method, &str, &[u8]) -> Result<Heard, ReadError>;
+
+/// Why a request is not an announcement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    /// No announcement is made there.
+    NoSuchPath,
+    /// The text is wrong.
+    Malformed(String),
+}
 
 /// What a target puts to [`PATH`] once a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +52,52 @@
     pub draining: bool,
     /// Time that it takes to warm up, milliseconds.
     pub cold_start_ms: u64,
+    /// Its name; one that has left does not come back in the same life.
+    #[serde(default)]
+    pub name: id::TargetName,
+    /// When this life of it started, milliseconds since 1970.
+    #[serde(default)]
+    pub born_ms: u64,
+    /// Number that grows with each announcement.
+    #[serde(default)]
+    pub sequence: u64,
+}
+
+/// Reads an announcement of the product's own form.
+///
+/// # Errors
+/// [`ReadError`].
+pub fn read_own(method: &Method, path: &str, body: &[u8]) -> Result<Heard, ReadError> {
+    if method != Method::PUT || path != PATH {
+        return Err(ReadError::NoSuchPath);
+    }
+    let read = serde_json::from_slice::<Announcement>(body);
+    let read = read.map_err(|err| ReadError::Malformed(err.to_string()))?;
+    let announcement = gate::Announcement {
+        life: gate::target::Life {
+            name: read.name,
+            born: read.born_ms,
+        },
+        sequence: read.sequence,
+        service: read.service,
+        slots: read.slots,
+        draining: read.draining,
+        cold_start: Duration::from_millis(read.cold_start_ms),
+    };
+    Ok(Heard::Announced(announcement, read.address))
+}
+
+/// What the listener needs of its embedder.
+#[derive(Clone)]
+pub struct Context {
+    /// Reads announcements.
+    pub read: Read,
+    /// Where they go.
+    pub sender: sender::Sender,
+    /// The only service that is announced here, where it is known.
+    pub service: Option<id::ServiceName>,
+    /// The only address that is announced here, where it is known.
+    pub address: Option<net::SocketAddr>,
 }
 
 /// Serves announcements until `stop` turns true.
@@ -43,42 +106,64 @@
 /// The listener can not be used.
 pub async fn serve(
     listener: net::TcpListener,
-    sender: sender::Sender,
+    cx: Context,
     stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
-    let sender = Rc::new(sender);
+    let cx = Rc::new(cx);
     let handler = move |req| {
-        let sender = sender.clone();
-        async move { handle(&sender, req).await }
+        let cx = cx.clone();
+        async move { handle(&cx, req).await }
     };
     server::serve(listener, server::Bounds::default(), stop, handler).await
 }
 
-async fn handle(sender: &sender::Sender, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    if req.method() != Method::PUT || req.uri().path() != PATH {
-        return problem::text(StatusCode::NOT_FOUND, format!("expected PUT {PATH}\n"));
-    }
-    let body = match body::read(req.into_body(), BODY_MAX_BYTES, BODY_TIMEOUT).await {
+async fn handle(cx: &Context, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = req.into_parts();
+    let body = match body::read(body, BODY_MAX_BYTES, BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(err) => return problem::text(StatusCode::BAD_REQUEST, format!("{err}\n")),
     };
-    match serde_json::from_slice::<Announcement>(&body) {
-        Err(err) => problem::text(StatusCode::BAD_REQUEST, format!("announcement: {err}\n")),
-        Ok(announcement) => {
-            take(sender, announcement).await;
-            problem::text(StatusCode::OK, String::new())
+    let read = (cx.read)(&parts.method, parts.uri.path(), &body).and_then(|heard| cx.check(heard));
+    match read {
+        Err(ReadError::NoSuchPath) => {
+            problem::text(StatusCode::NOT_FOUND, "no such announcement\n".to_owned())
+        }
+        Err(ReadError::Malformed(reason)) => {
+            warn!(path:% = parts.uri.path(); "announcement rejected: {reason}");
+            problem::text(StatusCode::BAD_REQUEST, format!("announcement: {reason}\n"))
         }
+        Ok(heard) => acknowledge(cx, heard).await,
     }
 }
 
-async fn take(sender: &sender::Sender, announcement: Announcement) {
-    let address = announcement.address;
-    sender.set_address(address);
-    let announcement = gate::Announcement {
-        service: announcement.service,
-        slots: announcement.slots,
-        draining: announcement.draining,
-        cold_start: Duration::from_millis(announcement.cold_start_ms),
-    };
-    sender.tell(Event::Announced(announcement, address)).await;
+impl Context {
+    fn check(&self, heard: Heard) -> Result<Heard, ReadError> {
+        let Heard::Announced(announcement, address) = &heard else {
+            return Ok(heard);
+        };
+        let wrong = |what: &str, found: SmolStr| {
+            Err(ReadError::Malformed(format!("{what} `{found}` is not that of this host")))
+        };
+        if self.service.as_ref().is_some_and(|own| *own != announcement.service) {
+            return wrong("service", announcement.service.clone());
+        }
+        if self.address.is_some_and(|own| own != *address) {
+            return wrong("address", address.to_string().into());
+        }
+        Ok(heard)
+    }
+}
+
+/// Hands on what was heard and waits until it may be acknowledged: the word that
+/// a target leaves must outlast this daemon first.
+async fn acknowledge(cx: &Context, heard: Heard) -> Response<Full<Bytes>> {
+    let (reply_to, kept) = oneshot::channel();
+    cx.sender.tell(Event::Heard(heard, reply_to)).await;
+    match time::timeout(ACKNOWLEDGE_TIMEOUT, kept).await {
+        Ok(Ok(())) => problem::json(StatusCode::OK, &serde_json::json!({})),
+        Ok(Err(_)) | Err(_) => {
+            let text = "the departure could not be made to last yet\n";
+            problem::text(StatusCode::SERVICE_UNAVAILABLE, text.to_owned())
+        }
+    }
 }
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use pollenrouter_core::{exchange, gate, id};
+use tokio::sync::oneshot;
 
 /// A call to send to the target.
 #[derive(Debug)]
@@ -15,6 +16,10 @@
     pub head: exchange::RequestHead,
     /// Whole body.
     pub body: Bytes,
+    /// The only target that may run it; empty for any.
+    pub target: id::TargetName,
+    /// Whether it may run at most once.
+    pub once: bool,
     /// When it must be answered.
     pub deadline: Instant,
     /// Depth that the target should state in calls of its own.
@@ -23,6 +28,15 @@
     pub answer_bytes: u64,
 }
 
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It announces itself; the address takes calls.
+    Announced(gate::Announcement, net::SocketAddr),
+    /// It leaves; 0 as its start means the life that announced itself last.
+    Departs(gate::target::Life),
+}
+
 /// Work for the target's client.
 #[derive(Debug)]
 pub enum Command {
@@ -32,13 +46,17 @@
     Cancel(id::CallId),
     /// Ask the target for its health.
     Probe,
+    /// Send later calls to this address.
+    Use(net::SocketAddr),
 }
 
 /// What the target's client tells its embedder.
 #[derive(Debug)]
 pub enum Event {
-    /// The target announced itself; the address takes calls.
-    Announced(gate::Announcement, net::SocketAddr),
+    /// A target spoke; the word is acknowledged once it has been kept.
+    Heard(Heard, oneshot::Sender<()>),
+    /// A target reported its load.
+    Reported(gate::Report),
     /// The target is done with a call.
     Finished(
         id::CallId,
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -1,6 +1,7 @@
 //! Sends calls to the target, each exactly once.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,22 +10,18 @@
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
+use log::warn;
 use pollenrouter_core::call::Refusal;
 use pollenrouter_core::{exchange, gate, id};
+use pollenrouter_http::convention::Convention;
 use pollenrouter_http::{body, client, head};
+use tokio::sync::Notify;
 use tokio::{task, time};
 
 use crate::message::{Command, Event, Run};
 
-/// Header that a target sets on 503 when it refused a call before it began.
-pub const SHED: &str = "target-shed";
 /// Header that tells a probe from other requests.
 pub const PROBE: &str = "pollenrouter-probe";
-const CALL: &str = "pollenrouter-call";
-const DEADLINE: &str = "pollenrouter-deadline-ms";
-const DEPTH: &str = "pollenrouter-depth";
-/// Time after the deadline for which a started call's answer is awaited.
-const AFTER_DEADLINE: Duration = Duration::from_mins(1);
 /// Memory that a kept answer and each of its headers take besides their text,
 /// bytes.
 const ANSWER_COST: usize = 256;
@@ -32,7 +29,9 @@
 const ROOM_PAUSE: Duration = Duration::from_millis(1);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_PATH: &str = "/.target/cancel/";
-const HEALTH_PATH: &str = "/.target/health";
+/// A call that may run once goes out on a connection that was in use this lately:
+/// a target may have dropped one that idles, and the call would be lost.
+const ONCE_IDLE_MAX: Duration = Duration::from_millis(250);
 
 /// Takes events; gives one back that there is no room for.
 pub type Sink = Rc<dyn Fn(Event) -> Result<(), Event>>;
@@ -42,21 +41,24 @@
 #[derive(Clone)]
 pub struct Sender {
     client: Rc<RefCell<Option<client::Client>>>,
+    cancels: Rc<RefCell<HashMap<id::CallId, Rc<Notify>>>>,
+    convention: Convention,
     sink: Sink,
 }
 
 impl Sender {
     /// A sender without a target.
     #[must_use]
-    pub fn new(sink: Sink) -> Self {
+    pub fn new(convention: Convention, sink: Sink) -> Self {
         Self {
             client: Rc::default(),
+            cancels: Rc::default(),
+            convention,
             sink,
         }
     }
 
-    /// Sends later calls to this address.
-    pub fn set_address(&self, address: net::SocketAddr) {
+    fn set_address(&self, address: net::SocketAddr) {
         let mut client = self.client.borrow_mut();
         if client.as_ref().is_none_or(|c| c.address() != address) {
             *client = Some(client::Client::new(address));
@@ -74,20 +76,32 @@
 
     /// Starts work on a command.
     pub fn run(&self, command: Command) {
+        if let Command::Use(address) = command {
+            self.set_address(address);
+            return;
+        }
         let sender = self.clone();
         task::spawn_local(async move {
             match command {
                 Command::Run(run) => sender.call(run).await,
                 Command::Cancel(id) => sender.cancel(id).await,
                 Command::Probe => sender.probe().await,
+                Command::Use(_) => {}
             }
         });
     }
 
     async fn call(&self, run: Run) {
         let id = run.id;
-        let (outcome, answer) = match self.send(run).await {
-            Ok(answer) if is_shed(&answer.0) => (gate::Outcome::NotStarted(Refusal::Shed), None),
+        let cancelled = Rc::new(Notify::new());
+        self.cancels.borrow_mut().insert(id, cancelled.clone());
+        let sent = tokio::select! {
+            sent = self.send(run) => sent,
+            // Dropping the request closes its connection.
+            () = cancelled.notified() => Err(gate::Outcome::Lost),
+        };
+        self.cancels.borrow_mut().remove(&id);
+        let (outcome, answer) = match sent {
             Ok(answer) => (answered(&answer), Some(answer)),
             Err(outcome) => (outcome, None),
         };
@@ -102,36 +116,97 @@
         if remaining.is_zero() {
             return Err(gate::Outcome::NotStarted(Refusal::Late));
         }
-        let request = request(client.address(), &run, remaining)?;
-        let patience = remaining + AFTER_DEADLINE;
-        let sent = time::timeout(patience, client.send(request)).await;
+        let request = self.request(client.address(), &run, remaining)?;
+        let patience = remaining + self.convention.answer_wait;
+        let idle_max = if run.once { ONCE_IDLE_MAX } else { client::IDLE_MAX };
+        let sent = time::timeout(patience, client.send(request, idle_max)).await;
         let (response, lent) = match sent {
             Ok(Ok(sent)) => sent,
             Ok(Err(client::ClientError::Connect(..))) => {
                 return Err(gate::Outcome::NotStarted(Refusal::Unreachable));
             }
-            Err(_) | Ok(Err(client::ClientError::Broken(_))) => return Err(gate::Outcome::Lost),
+            Err(_) => return Err(lost(&run, "no answer in time")),
+            Ok(Err(client::ClientError::Broken(err))) => return Err(lost(&run, &err.to_string())),
         };
         let (parts, body) = response.into_parts();
         let body = body::read(body, run.answer_bytes, patience)
             .await
-            .map_err(|_| gate::Outcome::Lost)?;
-        lent.give_back();
+            .map_err(|err| lost(&run, &err.to_string()))?;
         let head = exchange::AnswerHead {
             status: parts.status.as_u16(),
             headers: head::end_to_end(&parts.headers),
         };
-        Ok((head, body))
+        self.report(&head).await;
+        self.verify(&run, &head)?;
+        lent.give_back();
+        if self.is_not_run(&head) {
+            return Err(gate::Outcome::NotStarted(Refusal::Shed));
+        }
+        Ok((self.stripped(head), body))
+    }
+
+    /// Checks that an answer is the target's, and that of this request. The
+    /// connection of one that is not holds bytes that belong to no request.
+    fn verify(&self, run: &Run, head: &exchange::AnswerHead) -> Result<(), gate::Outcome> {
+        let value = |headers: &[exchange::Header], name| {
+            let found = headers.iter().find(|(n, _)| n == name);
+            found.map(|(_, value)| value.clone())
+        };
+        if let Some(name) = self.convention.echo
+            && value(&run.head.headers, name) != value(&head.headers, name)
+        {
+            return Err(lost(run, "the answer belongs to another request"));
+        }
+        let success = (200..300).contains(&head.status);
+        if let Some(name) = self.convention.signature
+            && success
+            && value(&head.headers, name).is_none()
+        {
+            return Err(lost(run, "the answer has no signature"));
+        }
+        Ok(())
+    }
+
+    fn is_not_run(&self, head: &exchange::AnswerHead) -> bool {
+        let says = head
+            .headers
+            .iter()
+            .any(|(name, _)| name == self.convention.not_run);
+        let fails = head.status >= StatusCode::BAD_REQUEST.as_u16();
+        fails && says || self.convention.other_target == Some(head.status)
+    }
+
+    /// The answer without what only the daemon beside the target needs.
+    fn stripped(&self, mut head: exchange::AnswerHead) -> exchange::AnswerHead {
+        if let Some((name, _)) = self.convention.load {
+            head.headers.retain(|(n, _)| n != name);
+        }
+        head
+    }
+
+    async fn report(&self, head: &exchange::AnswerHead) {
+        let Some((name, read)) = self.convention.load else {
+            return;
+        };
+        let found = head.headers.iter().find(|(n, _)| n == name);
+        let text = found.and_then(|(_, value)| std::str::from_utf8(value).ok());
+        if let Some(slowness) = text.and_then(read) {
+            self.tell(Event::Reported(gate::Report { slowness })).await;
+        }
     }
 
     async fn cancel(&self, id: id::CallId) {
-        let path = format!("{CANCEL_PATH}{}", call_text(id));
-        self.ask(Method::POST, &path).await;
+        if self.convention.cancels {
+            let path = format!("{CANCEL_PATH}{}", call_text(id));
+            self.ask(Method::POST, &path).await;
+        } else if let Some(cancelled) = self.cancels.borrow().get(&id) {
+            cancelled.notify_one();
+        }
     }
 
     async fn probe(&self) {
         let begun = Instant::now();
-        let healthy = self.ask(Method::GET, HEALTH_PATH).await;
+        let healthy = self.ask(Method::GET, self.convention.health_path).await;
         self.tell(Event::Probed(healthy, begun.elapsed())).await;
     }
 
@@ -148,34 +223,52 @@
         let Ok(request) = request else {
             return false;
         };
-        match time::timeout(PROBE_TIMEOUT, client.send(request)).await {
+        match time::timeout(PROBE_TIMEOUT, client.send(request, client::IDLE_MAX)).await {
             Ok(Ok((response, _))) => response.status().is_success(),
             _ => false,
         }
     }
+
+    fn request(
+        &self,
+        address: net::SocketAddr,
+        run: &Run,
+        remaining: Duration,
+    ) -> Result<Request<Full<Bytes>>, gate::Outcome> {
+        let host = match &run.head.host {
+            Some(host) => host.to_string(),
+            None => address.to_string(),
+        };
+        let built = Request::builder()
+            .method(run.head.method.as_str())
+            .uri(run.head.path.as_str())
+            .header(HOST, host)
+            .body(Full::new(run.body.clone()));
+        let mut request = built.map_err(|_| gate::Outcome::NotStarted(Refusal::NoRoute))?;
+        let headers = request.headers_mut();
+        head::add(headers, &run.head.headers);
+        let Convention {
+            call,
+            depth,
+            target,
+            deadline_ms,
+            ..
+        } = self.convention;
+        set(headers, Some(deadline_ms), &remaining.as_millis().to_string());
+        set(headers, call, &call_text(run.id));
+        set(headers, depth, &run.depth.to_string());
+        set(headers, target.filter(|_| !run.target.is_empty()), &run.target);
+        Ok(request)
+    }
 }
 
-fn request(
-    address: net::SocketAddr,
-    run: &Run,
-    remaining: Duration,
-) -> Result<Request<Full<Bytes>>, gate::Outcome> {
-    let built = Request::builder()
-        .method(run.head.method.as_str())
-        .uri(run.head.path.as_str())
-        .header(HOST, address.to_string())
-        .body(Full::new(run.body.clone()));
-    let mut request = built.map_err(|_| gate::Outcome::NotStarted(Refusal::NoRoute))?;
-    let headers = request.headers_mut();
-    head::add(headers, &run.head.headers);
-    set(headers, CALL, &call_text(run.id));
-    set(headers, DEADLINE, &remaining.as_millis().to_string());
-    set(headers, DEPTH, &run.depth.to_string());
-    Ok(request)
+fn lost(run: &Run, reason: &str) -> gate::Outcome {
+    warn!(call:% = call_text(run.id), target:% = run.target; "call lost at the target: {reason}");
+    gate::Outcome::Lost
 }
 
-fn set(headers: &mut hyper::HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+fn set(headers: &mut hyper::HeaderMap, name: Option<&'static str>, value: &str) {
+    if let (Some(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
         headers.insert(HeaderName::from_static(name), value);
     }
 }
@@ -184,11 +277,6 @@
     format!("{:x}-{:x}-{:x}", id.entry, id.seq, id.nonce)
 }
 
-fn is_shed(head: &exchange::AnswerHead) -> bool {
-    let unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE.as_u16();
-    unavailable && head.headers.iter().any(|(name, _)| name == SHED)
-}
-
 fn answered(answer: &Answer) -> gate::Outcome {
     let (head, body) = answer;
     let headers = head.headers.iter();
