--- a/crates/operator/src/fields.rs
+++ b/crates/operator/src/fields.rs
@@ -6,6 +6,7 @@
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::str::FromStr;
+use std::time::Duration;
 
 use saphyr::{LoadableYamlNode, MarkedYaml, Marker, Scalar, YamlData};
 use smol_str::SmolStr;
@@ -14,6 +15,8 @@
 
 /// Largest text that is read, bytes; the platform holds no larger value.
 const TEXT_MAX_BYTES: usize = 1 << 20;
+/// Longest time that is read, seconds.
+const SECONDS_MAX: f64 = 86_400.0;
 const NAME_MAX_CHARS: usize = 63;
 
 /// Findings collected so far, shared by all readers of one text.
@@ -260,6 +263,29 @@
         value
     }
 
+    /// A number, also with a fraction, within bounds.
+    pub fn fraction(&mut self, name: &'static str, bounds: RangeInclusive<f64>) -> Option<f64> {
+        let node = self.require(name)?;
+        let value = match node.data {
+            YamlData::Value(Scalar::FloatingPoint(value)) => Some(value.into_inner()),
+            YamlData::Value(Scalar::Integer(value)) => u32::try_from(value).ok().map(f64::from),
+            _ => None,
+        };
+        let value = value.filter(|value| bounds.contains(value));
+        if value.is_none() {
+            let (low, high) = (bounds.start(), bounds.end());
+            let expected = format!("is not a number from {low} to {high}");
+            self.wrong(node, name, &expected);
+        }
+        value
+    }
+
+    /// A time in seconds, also with a fraction.
+    pub fn seconds(&mut self, name: &'static str) -> Option<Duration> {
+        self.fraction(name, 0.0..=SECONDS_MAX)
+            .map(Duration::from_secs_f64)
+    }
+
     /// A mapping within the mapping.
     pub fn mapping<T>(
         &mut self,
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -13,7 +13,9 @@
 
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 60_000;
 /// A target is believed for three periods after an announcement.
-const DEFAULT_ANNOUNCE_PERIOD_MS: u64 = 1000;
+const DEFAULT_ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+/// Part of the time until a stop is enforced that is left for the last answers.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
 const STOP_TIMEOUT_MAX_MS: u64 = 3_600_000;
 
 /// Settings after checking.
@@ -27,8 +29,6 @@
     pub platform: SmolStr,
     /// Whose names and formats are spoken.
     pub profile: Profile,
-    /// Bounds that a platform of the users states, in its own form.
-    pub bounds: SmolStr,
     /// Service of the target on this host, where it is known beforehand.
     pub service: Option<id::ServiceName>,
     /// Address of that target, where it is known beforehand.
@@ -101,14 +101,11 @@
     }
     let profiles = [("own", Profile::Own), ("platform", Profile::Platform)];
     let profile = f.word("profile", &profiles, Some(Profile::Own));
-    let bounds = f.optional("bounds", Fields::text);
     let service = f.optional("service", Fields::name);
     let target = f.optional("target", Fields::parsed);
-    let period = f.number(
-        "announce_period_ms",
-        1..=STOP_TIMEOUT_MAX_MS,
-        Some(DEFAULT_ANNOUNCE_PERIOD_MS),
-    );
+    let period = f.optional("announce_period_s", Fields::seconds);
+    let grace = f.optional("grace_s", Fields::seconds);
+    let retry = f.optional("retry", |f, name| f.mapping(name, retry));
     let listen = f.mapping("listen", listen);
     let keys = f.optional("keys", |f, name| f.mapping(name, keys));
     let limits = f.optional_mapping("limits", Limits::default(), document::limits);
@@ -129,18 +126,37 @@
         failure_domain: failure_domain?,
         platform: platform?,
         profile: profile?,
-        bounds: bounds?.unwrap_or_default(),
         service: service?,
         target: target?,
-        announce_period: Duration::from_millis(period?),
+        announce_period: period?.unwrap_or(DEFAULT_ANNOUNCE_PERIOD),
         listen: listen?,
         keys: keys?,
-        limits: limits?,
-        stop_timeout: Duration::from_millis(stop?),
+        limits: match retry? {
+            None => limits?,
+            Some((percent, slack)) => Limits {
+                retry_percent: percent,
+                retry_slack: slack,
+                ..limits?
+            },
+        },
+        stop_timeout: match grace? {
+            None => Duration::from_millis(stop?),
+            Some(grace) => grace.saturating_sub(GRACE_MARGIN),
+        },
         log: log?,
     })
 }
 
+/// What second attempts may cost, as the platform of the users states it: a
+/// share of the traffic, and a number for the whole fleet in ten seconds. Half of
+/// the share is used, since the calls of a second attempt are repeats as well.
+fn retry(f: &mut Fields<'_, '_>) -> Option<(u32, u32)> {
+    let ratio = f.fraction("ratio", 0.0..=1.0);
+    let slack = f.number("slack", 0..=100_000, None);
+    let percent = Duration::from_secs_f64(ratio? * 100.0 / 2.0).as_secs();
+    Some((u32::try_from(percent).ok()?, u32::try_from(slack?).ok()?))
+}
+
 fn listen(f: &mut Fields<'_, '_>) -> Option<Listen> {
     let public = f.parsed("public");
     let internal = f.optional("internal", Fields::parsed);
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -62,10 +62,6 @@
             source(err)
             display("{err}")
         }
-        /// The platform's bounds can not be read.
-        Bounds(reason: String) {
-            display("field `bounds`: {reason}")
-        }
         /// Metrics can not be set up.
         Metrics(reason: String) {
             display("could not set up metrics: {reason}")
--- a/crates/router/src/profile.rs
+++ b/crates/router/src/profile.rs
@@ -1,7 +1,5 @@
 //! What differs between the product's own interface and a users' platform.
 
-use std::time::Duration;
-
 use pollenrouter_adapter as adapter;
 use pollenrouter_core::service::Limits;
 use pollenrouter_core::table::Table;
@@ -10,11 +8,6 @@
 use pollenrouter_platform::dialect::{self, Dialect};
 use pollenrouter_target::announcement;
 
-use crate::error::Error;
-
-/// Time of a planned stop that is left for the last answers and the exit.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
 /// Reads a routing table that is written as a whole.
 pub type ReadTable = fn(&str, &Limits) -> Result<Table, Vec<String>>;
 
@@ -31,44 +24,28 @@
     pub table: Option<ReadTable>,
     /// Bounds of services whose configuration states none.
     pub limits: Limits,
-    /// Longest wait for calls in flight at a planned stop.
-    pub stop_timeout: Duration,
 }
 
 impl Profile {
     /// The profile that the settings ask for.
-    ///
-    /// # Errors
-    /// [`Error::Bounds`] if the bounds that the platform states can not be read.
-    pub fn of(settings: &Settings) -> Result<Self, Error> {
+    #[must_use]
+    pub fn of(settings: &Settings) -> Self {
+        let own = Self {
+            convention: convention::OWN,
+            dialect: dialect::OWN,
+            announcements: announcement::read_own,
+            table: None,
+            limits: settings.limits.clone(),
+        };
         match settings.profile {
-            settings::Profile::Own => Ok(Self {
-                convention: convention::OWN,
-                dialect: dialect::OWN,
-                announcements: announcement::read_own,
-                table: None,
-                limits: settings.limits.clone(),
-                stop_timeout: settings.stop_timeout,
-            }),
-            settings::Profile::Platform => platform(settings),
+            settings::Profile::Own => own,
+            settings::Profile::Platform => Self {
+                convention: adapter::headers::CONVENTION,
+                dialect: adapter::store::DIALECT,
+                announcements: adapter::announcement::read,
+                table: Some(adapter::table::read),
+                ..own
+            },
         }
     }
 }
-
-fn platform(settings: &Settings) -> Result<Profile, Error> {
-    let bounds = adapter::bounds::read(&settings.bounds).map_err(Error::Bounds)?;
-    let limits = Limits {
-        retry_slack: bounds.retry_slack,
-        // Repeats bring calls of their own, which count as well.
-        retry_percent: bounds.retry_percent / 2,
-        ..settings.limits.clone()
-    };
-    Ok(Profile {
-        convention: adapter::headers::CONVENTION,
-        dialect: adapter::store::DIALECT,
-        announcements: adapter::announcement::read,
-        table: Some(adapter::table::read),
-        limits,
-        stop_timeout: bounds.grace.saturating_sub(STOP_MARGIN),
-    })
-}
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -70,7 +70,7 @@
 
 /// Runs a daemon until a planned stop is done.
 pub fn run(settings: &settings::Settings) -> Result<(), Error> {
-    let profile = Profile::of(settings)?;
+    let profile = Profile::of(settings);
     let transport = match &settings.keys {
         None => tls::unauthenticated()?,
         Some(keys) => tls::transport(&keys::Keys {
@@ -117,10 +117,9 @@
         announcement_ttl: settings.announce_period * ANNOUNCEMENTS_MISSED,
     };
     let calls = Calls::new(own_calls, incarnation, rings, instruments);
-    let stop_timeout = profile.stop_timeout;
     let (convention, announcements) = (profile.convention, profile.announcements);
     let fleet = Fleet::new(own, profile, shared);
-    let router = Router::new(fleet, calls, daemons, to_target, stop_timeout);
+    let router = Router::new(fleet, calls, daemons, to_target, settings.stop_timeout);
 
     let work = Work {
         sockets,
