--- a/crates/caller/src/ending.rs
+++ b/crates/caller/src/ending.rs
@@ -20,16 +20,10 @@
 
 /// The answer to a caller whose call ended.
 #[must_use]
-pub fn answer(
-    convention: &Convention,
-    ending: Ending,
-    had_ticket: bool,
-) -> Response<Full<Bytes>> {
+pub fn answer(convention: &Convention, ending: Ending, had_ticket: bool) -> Response<Full<Bytes>> {
     let mut answer = match ending.kind {
         EndingKind::Answer(head, body) => whole(&head, body),
-        EndingKind::NotRun(refusal) => {
-            refused(convention, refusal, ending.retry_after, had_ticket)
-        }
+        EndingKind::NotRun(refusal) => refused(convention, refusal, ending.retry_after, had_ticket),
         EndingKind::Unknown(doubt) => doubtful(doubt, had_ticket),
     };
     if let Some(ticket) = ending.ticket.filter(|_| convention.tickets) {
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -57,7 +57,7 @@
         /// The daemon has not read the documents since its start.
         NotReady { display("the daemon has not read the documents yet") }
         /// The document has no such route.
-        NoRoute { display("the service has no route for this method and path") }
+        NoRoute { display("no route for this host, method and path") }
         /// The route is for calls between services only.
         NotPublic { display("the route is closed to the public") }
         /// The entry's document says repeatable, the gate's newer one does not.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -12,12 +12,13 @@
 const SLOWNESS_TTL: Duration = Duration::from_millis(150);
 /// Hundredths of the usual service time.
 const USUAL: u32 = 100;
-/// Service time of a gate that has not reported one.
-const MEAN_UNKNOWN: Duration = Duration::from_millis(50);
+/// Service time that a gate is credited with until it has reported one: short, so
+/// that new gates get work.
+const MEAN_UNKNOWN: Duration = Duration::from_millis(5);
 /// What another failure domain must be faster by: a round trip and its traffic.
-const FAR_COST: Duration = Duration::from_millis(10);
-/// A failing gate costs as much as this many service times.
-const FAILING_COST: u32 = 8;
+const FAR_COST: Duration = Duration::from_millis(400);
+/// What a gate is avoided by whose target fails most calls; it may fail them fast.
+const FAILING_COST: Duration = Duration::from_secs(1);
 
 /// What an entry knows of a gate's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -47,7 +48,11 @@
             return Duration::ZERO;
         };
         let fresh = now.saturating_sub(at) <= HINT_TTL;
-        let reported = if fresh { hint.running + hint.waiting } else { 0 };
+        let reported = if fresh {
+            hint.running + hint.waiting
+        } else {
+            0
+        };
         let ahead = self.outstanding.max(reported + self.offered_since);
         let slots = hint.slots.max(1);
         hint.mean * (ahead + 1).saturating_sub(slots) / slots
@@ -66,7 +71,11 @@
         } else {
             hint.mean
         };
-        let reported = if fresh { hint.running + hint.waiting } else { 0 };
+        let reported = if fresh {
+            hint.running + hint.waiting
+        } else {
+            0
+        };
         let ahead = self.outstanding.max(reported + self.offered_since);
         let slots = hint.slots.max(1);
         let slow = age <= SLOWNESS_TTL && hint.slowness > USUAL;
@@ -78,14 +87,22 @@
         // Work slows down as the slots fill, so a half-filled gate is not free.
         let crowding = mean * ahead.min(slots) / (2 * slots);
         let wait = mean * (ahead + 1).saturating_sub(slots) / slots;
-        let failing = if fresh && hint.failing { FAILING_COST } else { 0 };
-        service + crowding + wait + mean * failing
+        let failing = if fresh && hint.failing {
+            FAILING_COST
+        } else {
+            Duration::ZERO
+        };
+        service + crowding + wait + failing
     }
 }
 
 impl Choice {
     fn cost(&self, now: Duration) -> Duration {
-        let distance = if self.is_near { Duration::ZERO } else { FAR_COST };
+        let distance = if self.is_near {
+            Duration::ZERO
+        } else {
+            FAR_COST
+        };
         self.load.expected(now) + distance
     }
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -351,7 +351,11 @@
                 self.times
                     .record(&running.route, now.saturating_sub(running.started));
                 self.note_outcome(failed);
-                let reply = if failed { Reply::Failure } else { Reply::Answer };
+                let reply = if failed {
+                    Reply::Failure
+                } else {
+                    Reply::Answer
+                };
                 out.push(Output::Reply(id, reply));
                 self.settle(now, id, running.once, bytes, out);
             }
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -100,7 +100,10 @@
         let Announcement {
             slots, cold_start, ..
         } = target.announcement;
-        let percent = self.document.as_ref().map_or(100, |d| d.limits.slot_percent);
+        let percent = self
+            .document
+            .as_ref()
+            .map_or(100, |d| d.limits.slot_percent);
         let slots = (slots * percent / 100).max(slots.min(1));
         let age = now.saturating_sub(target.first_heard);
         if age >= cold_start {
--- a/crates/core/src/gate/target.rs
+++ b/crates/core/src/gate/target.rs
@@ -14,9 +14,7 @@
 const REPORT_TTL: Duration = Duration::from_millis(150);
 
 /// One life of one target: a target may start again under the name that it had.
-#[derive(
-    Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Life {
     /// The target.
     pub name: id::TargetName,
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -16,7 +16,8 @@
 /// One routing table.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Table {
-    /// Version by which two tables of one source compare.
+    /// Version by which two tables of one source compare; of documents, the sum of
+    /// their versions.
     pub version: id::Version,
     /// Routes in no particular order.
     pub routes: Vec<Route>,
@@ -112,14 +113,13 @@
             ..Self::default()
         };
         for (version, service) in documents {
-            table.version = table.version.max(*version);
+            // Each version only goes up, and so does their sum.
+            table.version += version;
             let routes = service.routes.iter().enumerate();
             table
                 .routes
                 .extend(routes.map(|(at, route)| of_service(service, at, route)));
-            table
-                .services
-                .insert(service.name.clone(), service.clone());
+            table.services.insert(service.name.clone(), service.clone());
         }
         table
     }
@@ -139,7 +139,10 @@
 impl Route {
     fn matches(&self, host: &str, method: &str, path: &str) -> bool {
         path.starts_with(self.prefix.as_str())
-            && self.host.as_ref().is_none_or(|h| h.eq_ignore_ascii_case(host))
+            && self
+                .host
+                .as_ref()
+                .is_none_or(|h| h.eq_ignore_ascii_case(host))
             && self.method.as_ref().is_none_or(|m| m == method)
     }
 
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -147,7 +147,9 @@
         service: "seats".into(),
         route: "assign".into(),
         depth: 0,
+        rank: 0,
         remaining: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
         once: true,
         fingerprint: 4,
         vouched: true,
@@ -158,6 +160,7 @@
     Request {
         head: RequestHead {
             method: "POST".into(),
+            host: None,
             path: "/assign".into(),
             headers: Vec::new(),
         },
--- a/crates/dev/src/caller.rs
+++ b/crates/dev/src/caller.rs
@@ -121,7 +121,7 @@
 
 async fn exchange(client: &client::Client, call: &Call) -> Result<Exchanged, client::ClientError> {
     let request = build(client.address(), call);
-    let (response, lent) = client.send(request).await?;
+    let (response, lent) = client.send(request, client::IDLE_MAX).await?;
     let (parts, body) = response.into_parts();
     let body = match body::read(body, ANSWER_MAX_BYTES, ANSWER_TIMEOUT).await {
         Ok(body) => body,
--- a/crates/dev/src/start.rs
+++ b/crates/dev/src/start.rs
@@ -39,7 +39,7 @@
         name,
         &deployment::binary("pollenrouter")?,
         &args,
-        Output::Error,
+        Output::Out,
     )?;
     let addresses = process.expect(|line| serde_json::from_str(line).ok())?;
     Ok((process, addresses))
--- a/crates/dev/src/target.rs
+++ b/crates/dev/src/target.rs
@@ -210,7 +210,7 @@
             .body(Full::new(Bytes::from(announcement.to_string())));
         // The next period makes up for a failed announcement.
         if let Ok(request) = request
-            && let Ok((response, lent)) = client.send(request).await
+            && let Ok((response, lent)) = client.send(request, client::IDLE_MAX).await
             && body::read(response.into_body(), BODY_MAX_BYTES, BODY_TIMEOUT)
                 .await
                 .is_ok()
@@ -371,7 +371,7 @@
 
 /// Makes the next call of a chain; tells whether it was answered.
 async fn relay(client: &client::Client, request: Request<Full<Bytes>>) -> bool {
-    match client.send(request).await {
+    match client.send(request, client::IDLE_MAX).await {
         Ok((response, _)) => response.status().is_success(),
         Err(_) => false,
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,8 +1,8 @@
 //! Listener with bounds on connections, headers and time.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::cell::Cell;
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -99,7 +99,11 @@
     let default = Limits::default();
     let queue = f.number("queue", 0..=100_000, Some(default.queue.into()));
     let levels = f.number("depth_levels", 0..=7, Some(default.depth_levels.into()));
-    let short = f.number("short_reserved", 0..=1000, Some(default.short_reserved.into()));
+    let short = f.number(
+        "short_reserved",
+        0..=1000,
+        Some(default.short_reserved.into()),
+    );
     let request = f.number(
         "request_bytes",
         0..=BODY_MAX_BYTES,
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -195,7 +195,9 @@
             route: call.route.name,
             depth: call.depth,
             rank: terms.rank,
-            remaining: terms.timeout.map_or(deadline, |timeout| timeout.min(deadline)),
+            remaining: terms
+                .timeout
+                .map_or(deadline, |timeout| timeout.min(deadline)),
             objective: terms.objective,
             attempts: terms.attempts,
             once: !terms.repeatable || call.ticket.is_some(),
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -160,7 +160,11 @@
             body: held.request.body,
             deadline: self.origin + deadline,
             depth: held.depth,
-            target: self.gate.life().map(|life| life.name.clone()).unwrap_or_default(),
+            target: self
+                .gate
+                .life()
+                .map(|life| life.name.clone())
+                .unwrap_or_default(),
             once: held.once,
             answer_bytes: self.answer_bytes,
         };
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, PoisonError, RwLock, mpsc};
 
 use log::{info, warn};
-use pollenrouter_core::membership::{self, Membership};
 use pollenrouter_core::gate::target::Life;
+use pollenrouter_core::membership::{self, Membership};
 use pollenrouter_core::{documents, entry, id, replica, service, share, table, tables};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
@@ -266,12 +266,7 @@
         true
     }
 
-    fn member_changed(
-        &mut self,
-        member: Member,
-        version: id::Version,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn member_changed(&mut self, member: Member, version: id::Version, effects: &mut Vec<Effect>) {
         let own_life = member.host == self.own.host && member.incarnation == self.own.incarnation;
         if own_life {
             self.documents.registered(version);
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs: JSON lines on the error output.
+//! Logs: JSON lines on the standard output.
 
 use std::io;
 
@@ -7,7 +7,7 @@
 
 /// Starts logging; a second start changes nothing.
 pub fn init(level: log::LevelFilter) {
-    let writer = json::new_writer(io::stderr());
+    let writer = json::new_writer(io::stdout());
     let builder = Builder::with_level(level.as_str()).with_default_writer(writer);
     // Fails only if a logger is set already.
     let _ = builder.try_init();
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -92,12 +92,7 @@
     revision
 }
 
-fn watch(
-    client: &Client,
-    prefix: &str,
-    tx: &event::Sender,
-    revision: id::Version,
-) -> id::Version {
+fn watch(client: &Client, prefix: &str, tx: &event::Sender, revision: id::Version) -> id::Version {
     match client.watch(prefix, revision) {
         Ok(listing) => {
             if !listing.objects.is_empty() {
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -12,10 +12,10 @@
 use pollenrouter_caller::listener as callers;
 use pollenrouter_core::{id, membership, service, table};
 use pollenrouter_daemon::{keys, message as daemon, peer, tls};
+use pollenrouter_http::convention::Convention;
 use pollenrouter_operator::{listener as operators, settings};
 use pollenrouter_platform::client::Client;
 use pollenrouter_platform::object::{Member, MemberState};
-use pollenrouter_http::convention::Convention;
 use pollenrouter_target::{announcement, message as target, sender};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -190,13 +190,15 @@
 }
 
 fn log_start(own: &Member, sockets: &Sockets) -> Result<(), Error> {
-    let internal = sockets.internal.as_ref().map(TcpListener::local_addr);
-    let internal = internal.transpose()?;
+    let internal = match &sockets.internal {
+        Some(listener) => listener.local_addr()?.to_string(),
+        None => String::new(),
+    };
     info!(
         host:% = own.host,
         incarnation:% = format!("{:x}", own.incarnation),
         public:% = sockets.public.local_addr()?,
-        internal:? = internal,
+        internal:%,
         announcements:% = sockets.target.local_addr()?,
         operator:% = sockets.operator.local_addr()?,
         daemons:% = own.address;
@@ -245,12 +247,7 @@
         service: service.clone(),
         address: target,
     };
-    start_target(
-        sockets.target,
-        announced,
-        target_commands,
-        stopping.clone(),
-    );
+    start_target(sockets.target, announced, target_commands, stopping.clone());
     let operators = operators_context(&convention, &known, metrics, tx.clone());
     for listener in iter::once(sockets.operator).chain(sockets.metrics) {
         task::spawn_local(operators::serve(
--- a/crates/target/src/announcement.rs
+++ b/crates/target/src/announcement.rs
@@ -142,9 +142,15 @@
             return Ok(heard);
         };
         let wrong = |what: &str, found: SmolStr| {
-            Err(ReadError::Malformed(format!("{what} `{found}` is not that of this host")))
+            Err(ReadError::Malformed(format!(
+                "{what} `{found}` is not that of this host"
+            )))
         };
-        if self.service.as_ref().is_some_and(|own| *own != announcement.service) {
+        if self
+            .service
+            .as_ref()
+            .is_some_and(|own| *own != announcement.service)
+        {
             return wrong("service", announcement.service.clone());
         }
         if self.address.is_some_and(|own| own != *address) {
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -118,7 +118,11 @@
         }
         let request = self.request(client.address(), &run, remaining)?;
         let patience = remaining + self.convention.answer_wait;
-        let idle_max = if run.once { ONCE_IDLE_MAX } else { client::IDLE_MAX };
+        let idle_max = if run.once {
+            ONCE_IDLE_MAX
+        } else {
+            client::IDLE_MAX
+        };
         let sent = time::timeout(patience, client.send(request, idle_max)).await;
         let (response, lent) = match sent {
             Ok(Ok(sent)) => sent,
@@ -254,10 +258,18 @@
             deadline_ms,
             ..
         } = self.convention;
-        set(headers, Some(deadline_ms), &remaining.as_millis().to_string());
+        set(
+            headers,
+            Some(deadline_ms),
+            &remaining.as_millis().to_string(),
+        );
         set(headers, call, &call_text(run.id));
         set(headers, depth, &run.depth.to_string());
-        set(headers, target.filter(|_| !run.target.is_empty()), &run.target);
+        set(
+            headers,
+            target.filter(|_| !run.target.is_empty()),
+            &run.target,
+        );
         Ok(request)
     }
 }
