A gate that takes no work at the moment is offered some again; calls that can not be in time give way

The hint now tells 'leaving' from 'closed at the moment'; tests/gates.rs failed before. Calls that fail are logged with what the entry believed of each gate, which showed it.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -29,6 +29,8 @@
     pub remaining: Duration,
     /// Time left until the latency owed is exceeded.
     pub objective: Duration,
+    /// Whether it gives way when it can not meet that.
+    pub gives_way: bool,
     /// Whether the call may run at most once.
     pub once: bool,
     /// Digest of method, path and body; a ticket stays with one request.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -10,6 +10,8 @@
 /// A target's momentary speed is believed for this long; it changes within
 /// fractions of a second.
 const SLOWNESS_TTL: Duration = Duration::from_millis(150);
+/// A gate that takes no work at the moment is offered some again after this long.
+const CLOSED_TTL: Duration = Duration::from_millis(300);
 /// Hundredths of the usual service time.
 const USUAL: u32 = 100;
 /// Service time that a gate is credited with until it has reported one: short, so
@@ -41,6 +43,32 @@
 }
 
 impl Load {
+    /// The load as text for logs: host, own calls, reported calls over slots, mean
+    /// service time and age of the report.
+    #[must_use]
+    pub fn describe(&self, host: &str, now: Duration) -> String {
+        let own = self.outstanding;
+        match self.report {
+            None => format!("{host}:own={own}"),
+            Some((hint, at)) => format!(
+                "{host}:own={own},running={},waiting={},slots={},mean_ms={},slow={},age_ms={}",
+                hint.running,
+                hint.waiting,
+                hint.slots,
+                hint.mean.as_millis(),
+                hint.slowness,
+                now.saturating_sub(at).as_millis()
+            ),
+        }
+    }
+
+    /// Whether the gate said lately that it takes no work at the moment.
+    #[must_use]
+    pub fn is_closed(&self, now: Duration) -> bool {
+        self.report
+            .is_some_and(|(hint, at)| hint.closed && now.saturating_sub(at) <= CLOSED_TTL)
+    }
+
     /// Time until a call that comes now is expected to start.
     #[must_use]
     pub fn wait(&self, now: Duration) -> Duration {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -63,6 +63,11 @@
     pub remaining: Duration,
     /// Time left until the latency owed is exceeded.
     pub objective: Duration,
+    /// Whether it gives way when it can not meet that.
+    pub gives_way: bool,
+    /// Time left as the caller stated it, where it tells how long the caller has
+    /// been waiting.
+    pub shared_deadline: Option<Duration>,
     /// Targets that the call may be sent to.
     pub attempts: u32,
     /// Whether the call may run at most once.
@@ -168,6 +173,8 @@
     pending: BTreeMap<Token, Pending>,
     by_id: BTreeMap<id::CallId, Vec<Token>>,
     budgets: BTreeMap<id::ServiceName, bucket::RetryBudget>,
+    /// Longest deadline that callers of a route have stated.
+    deadlines: BTreeMap<id::RouteName, Duration>,
 }
 
 impl Entry {
@@ -182,6 +189,7 @@
             pending: BTreeMap::new(),
             by_id: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
         }
     }
 
@@ -261,7 +269,7 @@
         let token = request.token;
         let pending = Pending {
             deadline: now + request.remaining,
-            objective: now + request.objective,
+            objective: now + request.objective.saturating_sub(self.waited(&request)),
             request,
             attempt: None,
             tried: Vec::new(),
@@ -302,6 +310,16 @@
         }
     }
 
+    /// Time since the caller's first try, as far as its deadline tells.
+    fn waited(&mut self, request: &Request) -> Duration {
+        let Some(stated) = request.shared_deadline else {
+            return Duration::ZERO;
+        };
+        let longest = self.deadlines.entry(request.route.clone()).or_default();
+        *longest = stated.max(*longest);
+        *longest - stated
+    }
+
     fn deposit(&mut self, request: &Request) {
         let members = self.gates.len();
         let budget = self
@@ -319,8 +337,14 @@
         draw: u64,
         tried: &[id::HostName],
     ) -> Option<&Member> {
-        self.gates
-            .pick(now, service, &self.failure_domain, draw, tried)
+        self.gates.pick(
+            now,
+            service,
+            &self.failure_domain,
+            draw,
+            tried,
+            Duration::MAX,
+        )
     }
 
     fn tokens(&self, id: id::CallId) -> Vec<Token> {
--- a/crates/core/src/entry/again.rs
+++ b/crates/core/src/entry/again.rs
@@ -95,12 +95,18 @@
             return false;
         }
         let service = &pending.request.service;
+        let patience = pending.patience(now);
         let Some(budget) = self.budgets.get_mut(service) else {
             return false;
         };
-        let open = self
-            .gates
-            .pick(now, service, &self.failure_domain, 0, &pending.tried);
+        let open = self.gates.pick(
+            now,
+            service,
+            &self.failure_domain,
+            0,
+            &pending.tried,
+            patience,
+        );
         open.is_some() && (!reached_target || budget.take())
     }
 
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -2,10 +2,27 @@
 
 use std::time::Duration;
 
-use super::{Attempt, Entry, Output, Request, Token};
+use super::{Attempt, Entry, Output, Pending, Token};
 use crate::call::{self, Refusal};
 use crate::id;
 
+impl Pending {
+    /// Time within which a further gate has to be expected to start the call: what is left
+    /// until the latency owed is exceeded, or else until the deadline. The first
+    /// gate judges for itself.
+    pub(super) fn patience(&self, now: Duration) -> Duration {
+        if self.tried.is_empty() {
+            return Duration::MAX;
+        }
+        let until = if self.request.gives_way && now < self.objective {
+            self.objective
+        } else {
+            self.deadline
+        };
+        until.saturating_sub(now)
+    }
+}
+
 impl Entry {
     pub(super) fn attempt(
         &mut self,
@@ -20,7 +37,7 @@
         let request = pending.request.clone();
         let place = match &request.ticket {
             Some(ticket) => Some((ticket.host.clone(), ticket.incarnation, ticket.id)),
-            None => self.place(now, &request, &pending.tried.clone()),
+            None => self.place(now, token),
         };
         match place {
             Some((host, incarnation, id)) => self.offer(now, token, host, incarnation, id, out),
@@ -31,12 +48,20 @@
     fn place(
         &mut self,
         now: Duration,
-        request: &Request,
-        tried: &[id::HostName],
+        token: Token,
     ) -> Option<(id::HostName, id::Incarnation, id::CallId)> {
-        let member = self.pick(now, &request.service, request.draw, tried)?;
+        let pending = self.pending.get(&token)?;
+        let draw = pending.request.draw;
+        let member = self.gates.pick(
+            now,
+            &pending.request.service,
+            &self.failure_domain,
+            draw,
+            &pending.tried,
+            pending.patience(now),
+        )?;
         let (host, incarnation) = (member.host.clone(), member.incarnation);
-        let id = self.next_id(request.draw);
+        let id = self.next_id(draw);
         Some((host, incarnation, id))
     }
 
@@ -62,6 +87,7 @@
             rank: request.rank,
             remaining: pending.deadline.saturating_sub(now),
             objective: pending.objective.saturating_sub(now),
+            gives_way: request.gives_way,
             once: request.once,
             fingerprint: request.fingerprint,
             vouched: request.ticket.is_none(),
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -263,7 +263,8 @@
             mean: self.times.overall(),
             slowness: self.targets.slowness(now),
             failing: count(failed) * 2 > OUTCOMES,
-            leaving: self.refusal_now(now).is_some(),
+            leaving: self.refusal_now(now) == Some(Refusal::Draining),
+            closed: self.refusal_now(now).is_some(),
         }
     }
 
@@ -382,7 +383,7 @@
         let leaving = self.refusal_now(now);
         let (late, staying) = std::mem::take(&mut self.waiting)
             .into_iter()
-            .partition(|w| leaving.is_some() || now >= w.useless_at());
+            .partition(|w| leaving.is_some() || now >= w.start_by);
         self.waiting = staying;
         let late: Vec<queue::Waiting> = late;
         for w in late {
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -8,6 +8,13 @@
 use crate::records::{Known, State};
 use crate::service;
 
+/// Work that exceeds the latency owed in any case waits this long for a free slot;
+/// its caller is asked back rather than held.
+const LATE_PATIENCE: Duration = Duration::from_millis(150);
+/// A call may wait at least this long, though it is expected to end too late: the
+/// expectation is a mean.
+const START_MIN: Duration = Duration::from_millis(1);
+
 impl Gate {
     pub(super) fn offer(&mut self, now: Duration, offer: &call::Offer, out: &mut Vec<Output>) {
         let id = offer.id;
@@ -58,10 +65,17 @@
         let overall = self.times.overall();
         let order = (offer.depth, offer.rank, long);
         let wait = queue::expected_wait(&self.waiting, order, slots, overall);
-        let patience = if offer.objective.is_zero() {
-            offer.remaining
+        let useful = offer.remaining.saturating_sub(mean);
+        let in_time = if offer.gives_way {
+            offer.objective.saturating_sub(mean).min(useful)
+        } else {
+            useful.max(START_MIN)
+        };
+        let is_late = in_time.is_zero();
+        let patience = if is_late {
+            useful.min(LATE_PATIENCE)
         } else {
-            offer.remaining.min(offer.objective)
+            in_time
         };
         if wait > patience || offer.remaining.is_zero() {
             return Err(Refusal::Late);
@@ -75,7 +89,8 @@
             once: offer.once,
             arrived: now,
             deadline: now + offer.remaining,
-            objective: now + offer.objective,
+            is_late,
+            start_by: now + patience.max(START_MIN),
             mean,
         })
     }
--- a/crates/core/src/gates.rs
+++ b/crates/core/src/gates.rs
@@ -68,7 +68,8 @@
     }
 
     /// Picks a gate of a service that serves and was not tried; one that can not
-    /// be reached only if there is no other.
+    /// be reached only if there is no other. One at which a call is expected to
+    /// wait longer than `patience` is left out.
     #[must_use]
     pub fn pick(
         &self,
@@ -77,11 +78,14 @@
         failure_domain: &str,
         draw: u64,
         tried: &[id::HostName],
+        patience: Duration,
     ) -> Option<&Member> {
         let open = |gate: &&Gate| {
             gate.member.service == service
                 && gate.member.serving
                 && !tried.contains(&gate.member.host)
+                && !gate.load.is_closed(now)
+                && gate.load.wait(now) <= patience
         };
         let all: Vec<&Gate> = self.0.values().filter(open).collect();
         let trusted: Vec<&Gate> = all
--- a/crates/core/src/hint.rs
+++ b/crates/core/src/hint.rs
@@ -20,6 +20,8 @@
     pub slowness: u32,
     /// Whether most of the latest calls failed.
     pub failing: bool,
-    /// Whether it takes no new work.
+    /// Whether it takes no new work for good.
     pub leaving: bool,
+    /// Whether it takes no new work at the moment.
+    pub closed: bool,
 }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -23,28 +23,25 @@
     pub arrived: Duration,
     /// When it must be answered.
     pub deadline: Duration,
-    /// When an answer exceeds the latency owed.
-    pub objective: Duration,
+    /// Whether an answer exceeds the latency owed however soon it starts.
+    pub is_late: bool,
+    /// When it is given up unless it has started.
+    pub start_by: Duration,
     /// Expected service time.
     pub mean: Duration,
 }
 
 impl Waiting {
-    /// From when on a start is of no use: the answer would be too late for what
-    /// is owed, or, for work that has missed that already, for the deadline.
-    #[must_use]
-    pub fn useless_at(&self) -> Duration {
-        if self.arrived < self.objective {
-            self.objective
-        } else {
-            self.deadline
-        }
-    }
-
-    fn order(&self, now: Duration) -> (bool, u8, bool, Duration) {
+    fn order(&self, now: Duration) -> (bool, u8, bool, bool, Duration) {
         let urgent = now + self.mean * 2 >= self.deadline;
         let long = self.long && !urgent;
-        (self.depth == 0, self.rank, long, self.arrived)
+        (
+            self.depth == 0,
+            self.rank,
+            self.is_late,
+            long,
+            self.start_by,
+        )
     }
 }
 
@@ -80,7 +77,8 @@
 }
 
 /// Position of the call to start next: internal before public, then by
-/// rank, short before long, then by arrival.
+/// rank, what can still be in time before what can not, short before long, then by
+/// the latest useful start.
 #[must_use]
 pub fn next(waiting: &[Waiting], slots: Slots, now: Duration) -> Option<usize> {
     waiting
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -68,6 +68,9 @@
     pub deadline: Duration,
     /// Longest time that a request is kept waiting, whatever its deadline.
     pub timeout: Option<Duration>,
+    /// Whether all callers begin with the same deadline, so that one who states less
+    /// has been waiting since an earlier try.
+    pub deadline_shared: bool,
     /// Targets that one request may be sent to.
     pub attempts: u32,
     /// Rank; 0 goes first.
@@ -76,6 +79,17 @@
     pub audience: Audience,
 }
 
+impl Table {
+    /// Whether calls of a rank give way when they can not meet what is owed: those of
+    /// the last rank do. Others are worth their slot even when they are late, as
+    /// calls that one in progress waits for.
+    #[must_use]
+    pub fn gives_way(&self, rank: u8) -> bool {
+        let last = self.routes.iter().map(|route| route.terms.rank).max();
+        last.is_none_or(|last| rank >= last)
+    }
+}
+
 /// Bounds on what callers send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CallerLimits {
@@ -180,6 +194,7 @@
             objective: route.owed,
             deadline: route.owed,
             timeout: route.timeout,
+            deadline_shared: false,
             attempts: route.attempts,
             rank: route.rank,
             audience: route.audience,
--- /dev/null
+++ b/crates/core/tests/gates.rs
@@ -0,0 +1,80 @@
+//! What an entry does with a gate that takes no work at the moment.
+
+use std::time::Duration;
+
+use pollenrouter_core::entry::Member;
+use pollenrouter_core::gates::Gates;
+use pollenrouter_core::hint::Hint;
+use rstest::rstest;
+
+const SERVICE: &str = "seats";
+const HOST: &str = "leoben-1";
+
+struct Case {
+    hint: Hint,
+    /// Time since the gate said so.
+    after: Duration,
+    picked: bool,
+}
+
+/// The target has not announced itself yet, as after a restart of its daemon.
+const CLOSED: Hint = Hint {
+    running: 0,
+    waiting: 0,
+    slots: 0,
+    mean: Duration::ZERO,
+    slowness: 0,
+    failing: false,
+    leaving: false,
+    closed: true,
+};
+
+const JUST_CLOSED: Case = Case {
+    hint: CLOSED,
+    after: Duration::from_millis(100),
+    picked: false,
+};
+
+const CLOSED_BEFORE: Case = Case {
+    after: Duration::from_millis(500),
+    picked: true,
+    ..JUST_CLOSED
+};
+
+const LEFT: Case = Case {
+    hint: Hint {
+        leaving: true,
+        ..CLOSED
+    },
+    after: Duration::from_secs(60),
+    picked: false,
+};
+
+const OPEN: Case = Case {
+    hint: Hint {
+        closed: false,
+        ..CLOSED
+    },
+    after: Duration::ZERO,
+    picked: true,
+};
+
+#[rstest]
+#[case::just_closed(JUST_CLOSED)]
+#[case::closed_before(CLOSED_BEFORE)]
+#[case::left(LEFT)]
+#[case::open(OPEN)]
+fn a_gate_is_picked_again_unless_it_leaves(#[case] case: Case) {
+    let mut gates = Gates::default();
+    gates.set(vec![Member {
+        host: HOST.into(),
+        service: SERVICE.into(),
+        serving: true,
+        ..Member::default()
+    }]);
+    let said_at = Duration::from_secs(1);
+    gates.note(said_at, &HOST.into(), case.hint);
+    let now = said_at + case.after;
+    let picked = gates.pick(now, SERVICE, "", 0, &[], Duration::MAX);
+    assert_eq!(picked.is_some(), case.picked);
+}
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -150,6 +150,7 @@
         rank: 0,
         remaining: Duration::from_secs(1),
         objective: Duration::from_secs(1),
+        gives_way: true,
         once: true,
         fingerprint: 4,
         vouched: true,
--- a/crates/http/src/convention.rs
+++ b/crates/http/src/convention.rs
@@ -22,6 +22,8 @@
     pub not_run: &'static str,
     /// Status by which a target says that it is not the one that was named.
     pub other_target: Option<u16>,
+    /// Header in which callers name their requests, for logs.
+    pub request_id: &'static str,
     /// Header of a request that the answer to it has to repeat.
     pub echo: Option<&'static str>,
     /// Header without which an answer is not a target's.
@@ -53,6 +55,7 @@
     target: Some("pollenrouter-target"),
     not_run: "target-shed",
     other_target: None,
+    request_id: "x-request-id",
     echo: None,
     signature: None,
     load: None,
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -12,6 +12,7 @@
 use pollenrouter_core::{exchange, gate, id, pause, service};
 use pollenrouter_daemon::message::{Answer, Command, Peer, Replied, ReplyTo, Request};
 use pollenrouter_target::message as target;
+use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::instruments::Instruments;
@@ -35,7 +36,10 @@
 
 struct Caller {
     request: Request,
+    /// What the caller calls its request, for logs.
+    request_id: SmolStr,
     service: id::ServiceName,
+    route: id::RouteName,
     begun: Duration,
     /// A failure that a target reported, while another one is tried.
     failure: Option<Answer>,
@@ -68,6 +72,7 @@
     pauses: pause::Pauses,
     rings: Rings,
     instruments: Instruments,
+    request_id_header: &'static str,
 }
 
 /// What a daemon's calls have to know of it.
@@ -78,6 +83,8 @@
     pub failure_domain: id::DomainName,
     /// Time for which a target is believed after an announcement.
     pub announcement_ttl: Duration,
+    /// Header in which callers name their requests.
+    pub request_id_header: &'static str,
 }
 
 /// A call with what its service allows.
@@ -88,6 +95,8 @@
     pub retry_percent: u32,
     /// Second attempts of the whole fleet beyond that share, in ten seconds.
     pub retry_slack: u32,
+    /// Whether the call gives way when it can not meet what is owed.
+    pub gives_way: bool,
 }
 
 impl Calls {
@@ -118,6 +127,7 @@
             pauses: pause::Pauses::default(),
             rings,
             instruments,
+            request_id_header: own.request_id_header,
         }
     }
 
@@ -184,6 +194,7 @@
             call,
             retry_percent,
             retry_slack,
+            gives_way,
         } = routed;
         let call = *call;
         let terms = call.route.terms;
@@ -199,6 +210,8 @@
                 .timeout
                 .map_or(deadline, |timeout| timeout.min(deadline)),
             objective: terms.objective,
+            gives_way,
+            shared_deadline: call.remaining.filter(|_| terms.deadline_shared),
             attempts: terms.attempts,
             once: !terms.repeatable || call.ticket.is_some(),
             fingerprint: routes::fingerprint(&call.head, &call.body),
@@ -207,7 +220,10 @@
             retry_slack,
             draw: rand::random(),
         };
+        let request_id = self.request_id(&call.head);
         let caller = Caller {
+            request_id,
+            route: request.route.clone(),
             request: Request {
                 head: call.head,
                 body: call.body,
@@ -334,6 +350,14 @@
         self.run(Step::Entry(entry::Input::Lost(host, id, sent)));
     }
 
+    /// What a caller calls its request.
+    fn request_id(&self, head: &exchange::RequestHead) -> SmolStr {
+        let name = self.request_id_header;
+        let found = head.headers.iter().find(|(n, _)| n == name);
+        let text = found.map(|(_, value)| String::from_utf8_lossy(value));
+        text.map(SmolStr::new).unwrap_or_default()
+    }
+
     fn run(&mut self, step: Step) {
         self.steps.push_back(step);
         while let Some(step) = self.steps.pop_front() {
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use log::{debug, warn};
+use log::{info, warn};
 use pollenrouter_caller::message::{Ending, EndingKind};
 use pollenrouter_core::call::{self, Doubt, Refusal, Reply};
 use pollenrouter_core::entry::{self, Sent, Verdict};
@@ -12,7 +12,7 @@
 use pollenrouter_target::message as target;
 use smol_str::SmolStr;
 
-use super::{Calls, Step, Waiter};
+use super::{Caller, Calls, Step, Waiter};
 
 impl Calls {
     pub(super) fn entry_output(&mut self, now: Duration, output: entry::Output) {
@@ -84,7 +84,7 @@
         };
         let answer = match verdict {
             Verdict::Answer(_) => self.arrived.clone(),
-            Verdict::Failure(_) => self.arrived.clone().or(caller.failure),
+            Verdict::Failure(_) => self.arrived.clone().or_else(|| caller.failure.clone()),
             _ => None,
         };
         let (kind, outcome, reason) = match verdict {
@@ -103,10 +103,10 @@
             ),
             Verdict::Unknown(doubt) => unknown(doubt),
         };
+        let took = now.saturating_sub(caller.begun);
         if !reason.is_empty() {
-            debug!(service:% = caller.service, outcome; "call failed: {reason}");
+            self.log_ending(now, &caller, outcome, &reason);
         }
-        let took = now.saturating_sub(caller.begun);
         self.instruments
             .ended(&caller.service, outcome, &reason, took);
         let retry_after = matches!(kind, EndingKind::NotRun(_))
@@ -119,6 +119,24 @@
         });
     }
 
+    /// Tells why a caller got no answer, with what this entry believed of the gates.
+    fn log_ending(&self, now: Duration, caller: &Caller, outcome: &str, reason: &str) {
+        let gates = self.entry.gates();
+        let beliefs: Vec<String> = gates
+            .filter(|(member, _)| member.service == caller.service)
+            .map(|(member, load)| load.describe(&member.host, now))
+            .collect();
+        info!(
+            request:% = caller.request_id,
+            service:% = caller.service,
+            route:% = caller.route,
+            took_ms = now.saturating_sub(caller.begun).as_millis(),
+            gates:% = beliefs.join(" "),
+            outcome;
+            "call failed: {reason}"
+        );
+    }
+
     pub(super) fn gate_output(&mut self, now: Duration, output: &gate::Output) {
         match *output {
             gate::Output::Start { id, deadline } => self.start(id, deadline),
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -115,6 +115,7 @@
         host: settings.host.clone(),
         failure_domain: settings.failure_domain.clone(),
         announcement_ttl: settings.announce_period * ANNOUNCEMENTS_MISSED,
+        request_id_header: profile.convention.request_id,
     };
     let calls = Calls::new(own_calls, incarnation, rings, instruments);
     let (convention, announcements) = (profile.convention, profile.announcements);
