News stays within its failure domain; other peers are told of it and ask

Cause: each change of the table went whole to three random peers of each daemon that learned it, mostly over a border.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -16,8 +16,11 @@
 pub const ROUND: Duration = Duration::from_secs(1);
 /// Daemons of a failure domain that watch the platform.
 pub const WATCHERS: usize = 2;
-/// Peers that news goes on to.
+/// Peers in the own failure domain that news goes on to.
 const FANOUT: u32 = 3;
+/// Other peers that are told of news, and ask for it if they lack it: traffic
+/// between failure domains costs, and each domain has watchers of its own.
+const FANOUT_FAR: u32 = 2;
 const BITS_PER_DRAW: u32 = 16;
 /// Rounds without contact after which a successor is reported.
 const MISSED_MAX: u32 = 30;
@@ -39,7 +42,8 @@
     /// Digest of the sender's replica, where it is to be compared. News carries
     /// none: while news spreads, replicas differ and comparing is in vain.
     pub digest: Option<Digest>,
-    /// The sender's versions, where it asks for newer objects.
+    /// With a digest, the sender's versions, where it asks for newer objects; without
+    /// one, versions that are news.
     pub versions: Option<BTreeMap<Key, id::Version>>,
     /// Objects that may be news.
     pub objects: Vec<Object>,
@@ -79,6 +83,7 @@
     members: BTreeMap<id::HostName, Member>,
     missed: BTreeMap<id::HostName, u32>,
     peers: Vec<id::HostName>,
+    near_peers: Vec<id::HostName>,
     successor: Option<id::HostName>,
 }
 
@@ -92,6 +97,7 @@
             members: BTreeMap::new(),
             missed: BTreeMap::new(),
             peers: Vec::new(),
+            near_peers: Vec::new(),
             successor: None,
         }
     }
@@ -137,21 +143,50 @@
         if news.is_empty() {
             return;
         }
+        let versions = news.iter().map(|o| (o.key.clone(), o.version)).collect();
+        let hint = Message {
+            versions: Some(versions),
+            ..Message::default()
+        };
         let message = Message {
             objects: news,
             ..Message::default()
         };
-        for nth in 0..FANOUT {
-            let draw = draw.rotate_right(BITS_PER_DRAW * nth);
-            if let Some(host) = self.random_peer(draw) {
-                out.push(Output::Send(host, message.clone()));
-            }
+        let draws = |n: u32| (0..n).map(move |nth| draw.rotate_right(BITS_PER_DRAW * nth));
+        let near = draws(FANOUT).filter_map(|draw| random(&self.near_peers, draw));
+        out.extend(near.map(|host| Output::Send(host, message.clone())));
+        let far = draws(FANOUT_FAR).filter_map(|draw| random(&self.peers, draw));
+        out.extend(far.map(|host| Output::Send(host, hint.clone())));
+    }
+
+    /// A peer tells of news; asks for what is lacking here.
+    fn hinted(
+        &self,
+        host: id::HostName,
+        news: &BTreeMap<Key, id::Version>,
+        out: &mut Vec<Output>,
+    ) {
+        let lacks = |(key, version): (&Key, &id::Version)| {
+            let held = self.replica.get(key);
+            held.is_none_or(|object| object.version < *version)
+        };
+        if news.iter().any(lacks) {
+            let question = Message {
+                digest: Some(self.replica.digest()),
+                versions: Some(self.replica.versions()),
+                objects: Vec::new(),
+            };
+            out.push(Output::Send(host, question));
         }
     }
 
     fn heard(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
         self.missed.remove(&host);
         self.merge(message.objects, draw, out);
+        if let (None, Some(news)) = (message.digest, &message.versions) {
+            self.hinted(host, news, out);
+            return;
+        }
         let digest = self.replica.digest();
         if message.digest.is_none_or(|theirs| theirs == digest) {
             return;
@@ -201,9 +236,8 @@
         let known = &self.members;
         self.missed.retain(|host, _| known.contains_key(host));
         self.peers = ring::fingers(&self.own.host, self.members.keys());
-        self.successor = ring::fingers(&self.own.host, self.neighbors())
-            .into_iter()
-            .next();
+        self.near_peers = ring::fingers(&self.own.host, self.neighbors());
+        self.successor = self.near_peers.first().cloned();
     }
 
     fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
@@ -212,7 +246,7 @@
             ..Message::default()
         };
         let mut to: Vec<id::HostName> = self.successor.iter().cloned().collect();
-        to.extend(self.random_peer(draw));
+        to.extend(random(&self.peers, draw));
         to.dedup();
         out.extend(
             to.into_iter()
@@ -220,10 +254,10 @@
         );
     }
 
-    fn random_peer(&self, draw: u64) -> Option<id::HostName> {
-        let n = u64::try_from(self.peers.len()).ok().filter(|n| *n > 0)?;
-        usize::try_from(draw % n)
-            .ok()
-            .map(|at| self.peers[at].clone())
-    }
+}
+
+fn random(peers: &[id::HostName], draw: u64) -> Option<id::HostName> {
+    let n = u64::try_from(peers.len()).ok().filter(|n| *n > 0)?;
+    let at = usize::try_from(draw % n).ok()?;
+    Some(peers[at].clone())
 }
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -26,9 +26,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A connection with an open call is checked this often.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Checks without a datagram after which a connection counts as silent.
-const SILENT_CHECKS: u32 = 3;
+const SILENT_CHECKS: u32 = 2;
 const CLOSED_SILENT: u32 = 1;
 
 quick_error! {
