--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -171,6 +171,9 @@
     let mut settings = quinn::TransportConfig::default();
     let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT).map_err(rejected)?;
     settings.max_idle_timeout(Some(idle));
+    // Messages are mostly small; probing for larger datagrams takes some 10 KB for
+    // each connection.
+    settings.mtu_discovery_config(None);
     settings.max_concurrent_bidi_streams(CALLS_MAX.into());
     settings.max_concurrent_uni_streams(TELLS_MAX.into());
     settings.stream_receive_window(STREAM_WINDOW_BYTES.into());
