Another failure domain is asked only while it has room

Cause: at the crest every gate is full; a refused call that went over the border was refused there or took the slot of a call of that domain, and cost its bytes.

--- a/crates/core/src/gates.rs
+++ b/crates/core/src/gates.rs
@@ -27,6 +27,17 @@
     pause: Duration,
 }
 
+impl Gate {
+    /// Whether a call may be expected to start in time. A gate in another failure
+    /// domain is of use only while it has room: its own callers need the rest.
+    fn may_take(&self, now: Duration, patience: Duration, failure_domain: &str) -> bool {
+        if patience == Duration::MAX || self.member.failure_domain == failure_domain {
+            return self.load.wait(now) <= patience;
+        }
+        self.load.wait(now).is_zero() && self.load.expected(now) <= patience
+    }
+}
+
 /// All gates that an entry knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Gates(BTreeMap<id::HostName, Gate>);
@@ -85,7 +96,7 @@
                 && gate.member.serving
                 && !tried.contains(&gate.member.host)
                 && !gate.load.is_closed(now)
-                && gate.load.wait(now) <= patience
+                && gate.may_take(now, patience, failure_domain)
         };
         let all: Vec<&Gate> = self.0.values().filter(open).collect();
         let trusted: Vec<&Gate> = all
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -160,12 +160,7 @@
     }
 
     /// A peer tells of news; asks for what is lacking here.
-    fn hinted(
-        &self,
-        host: id::HostName,
-        news: &BTreeMap<Key, id::Version>,
-        out: &mut Vec<Output>,
-    ) {
+    fn hinted(&self, host: id::HostName, news: &BTreeMap<Key, id::Version>, out: &mut Vec<Output>) {
         let lacks = |(key, version): (&Key, &id::Version)| {
             let held = self.replica.get(key);
             held.is_none_or(|object| object.version < *version)
@@ -253,7 +248,6 @@
                 .map(|host| Output::Send(host, message.clone())),
         );
     }
-
 }
 
 fn random(peers: &[id::HostName], draw: u64) -> Option<id::HostName> {
