--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -80,13 +80,13 @@
 }
 
 impl Table {
-    /// Whether calls of a rank give way when they can not meet what is owed: those of
-    /// the last rank do. Others are worth their slot even when they are late, as
-    /// calls that one in progress waits for.
+    /// Whether calls give way when they can not meet what is owed: those of the last
+    /// rank do, unless their callers choose a deadline of their own. Others are worth
+    /// their slot even when they are late, as calls that one in progress waits for.
     #[must_use]
-    pub fn gives_way(&self, rank: u8) -> bool {
+    pub fn gives_way(&self, terms: &Terms) -> bool {
         let last = self.routes.iter().map(|route| route.terms.rank).max();
-        last.is_none_or(|last| rank >= last)
+        terms.deadline_shared && last.is_none_or(|last| terms.rank >= last)
     }
 }
 
--- a/crates/core/tests/table.rs
+++ b/crates/core/tests/table.rs
@@ -79,6 +79,11 @@
 
 #[test]
 fn only_the_last_rank_gives_way() {
-    assert!(!table().gives_way(1));
-    assert!(table().gives_way(2));
+    let terms = |rank, deadline_shared| Terms {
+        deadline_shared,
+        ..route("", None, "/", rank).terms
+    };
+    assert!(!table().gives_way(&terms(1, true)));
+    assert!(table().gives_way(&terms(2, true)));
+    assert!(!table().gives_way(&terms(2, false)));
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -121,7 +121,7 @@
                     limits.map_or((0, 0), |limits| (limits.retry_percent, limits.retry_slack));
                 match routes::admit(table, self.service.as_ref(), &call) {
                     Ok(()) => self.calls.call(Routed {
-                        gives_way: table.is_none_or(|t| t.gives_way(call.route.terms.rank)),
+                        gives_way: table.is_some_and(|table| table.gives_way(&call.route.terms)),
                         call,
                         retry_percent,
                         retry_slack,
