A document says how many slots of a cold target open at once

Cause: after a mass restart the targets are cold for 3 s, and gates opened their slots one by one in that time, when every slot counts; the worst windows lie there. Here cold work is slower but takes no more room. The product's default stays the even ramp.

--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -115,17 +115,16 @@
         let Announcement {
             slots, cold_start, ..
         } = target.announcement;
-        let percent = self
-            .document
-            .as_ref()
-            .map_or(100, |d| d.limits.slot_percent);
-        let slots = (slots * percent / 100).max(slots.min(1));
+        let limits = self.document.as_ref().map(|document| &document.limits);
+        let (used, cold) = limits.map_or((100, 0), |l| (l.slot_percent, l.cold_percent));
+        let slots = (slots * used / 100).max(slots.min(1));
         let age = now.saturating_sub(target.first_heard);
         if age >= cold_start {
             return slots;
         }
         let share = age.as_micros() * u128::from(slots) / cold_start.as_micros().max(1);
-        u32::try_from(share).unwrap_or(slots).max(1)
+        let at_once = slots * cold / 100;
+        u32::try_from(share).unwrap_or(slots).max(at_once).max(1)
     }
 
     pub(super) fn slots(&self, now: Duration) -> queue::Slots {
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -88,6 +88,9 @@
     pub retry_slack: u32,
     /// Slots of a target that are used, in hundredths of those it states.
     pub slot_percent: u32,
+    /// Slots that are open at once at a target that warms up, in hundredths of those
+    /// that are used; the others open evenly.
+    pub cold_percent: u32,
 }
 
 /// Budget for the work of measuring targets.
@@ -110,6 +113,7 @@
             retry_percent: 10,
             retry_slack: 60,
             slot_percent: 100,
+            cold_percent: 0,
         }
     }
 }
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/target.rs
@@ -1,9 +1,11 @@
-//! A target that leaves gets no new work, whatever it or its past says later.
+//! A target at its gate: one that leaves gets no new work, whatever it or its past
+//! says later; one that warms up gets as much as its document says.
 
 use std::time::Duration;
 
 use pollenrouter_core::gate::target::Life;
 use pollenrouter_core::gate::{Announcement, Gate, Input};
+use pollenrouter_core::service::{Limits, Measuring, Service};
 use rstest::rstest;
 
 const SERVICE: &str = "seats";
@@ -117,3 +119,43 @@
     gate.step(STEP, Input::Synced);
     assert!(gate.serving(STEP).is_some());
 }
+
+struct ColdCase {
+    cold_percent: u32,
+    after: Duration,
+    open: u32,
+}
+
+#[rstest]
+#[case::one_at_first(ColdCase { cold_percent: 0, after: Duration::ZERO, open: 1 })]
+#[case::half_way(ColdCase { cold_percent: 0, after: Duration::from_secs(2), open: 2 })]
+#[case::all_at_once(ColdCase { cold_percent: 100, after: Duration::ZERO, open: 4 })]
+#[case::part_at_once(ColdCase { cold_percent: 75, after: Duration::ZERO, open: 3 })]
+fn slots_of_a_cold_target_open_as_the_document_says(#[case] case: ColdCase) {
+    let mut gate = Gate::new(7, 64);
+    let limits = Limits {
+        cold_percent: case.cold_percent,
+        ..Limits::default()
+    };
+    gate.step(Duration::ZERO, Input::Document(service(limits)));
+    gate.step(
+        Duration::ZERO,
+        Input::Announced(Announcement {
+            service: SERVICE.into(),
+            slots: 4,
+            cold_start: Duration::from_secs(4),
+            ..Announcement::default()
+        }),
+    );
+    assert_eq!(gate.hint(case.after).slots, case.open);
+}
+
+fn service(limits: Limits) -> Service {
+    Service {
+        name: SERVICE.into(),
+        internal_callers: Vec::new(),
+        routes: Vec::new(),
+        limits,
+        measuring: Measuring::default(),
+    }
+}
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -116,6 +116,7 @@
     );
     let retry = f.number("retry_percent", 0..=100, Some(default.retry_percent.into()));
     let slack = f.number("retry_slack", 0..=100_000, Some(default.retry_slack.into()));
+    let cold = f.number("cold_percent", 0..=100, Some(default.cold_percent.into()));
     let used = f.number("slot_percent", 1..=100, Some(default.slot_percent.into()));
     Some(Limits {
         queue: small(queue?),
@@ -126,6 +127,7 @@
         retry_percent: small(retry?),
         retry_slack: small(slack?),
         slot_percent: small(used?),
+        cold_percent: small(cold?),
     })
 }
 
