--- a/crates/dev/tests/operator.rs
+++ b/crates/dev/tests/operator.rs
@@ -5,8 +5,9 @@
 use std::process::Command;
 use std::time::Instant;
 
-use pollenrouter_dev::caller::{self, Call};
+use pollenrouter_dev::caller::{self, Call, Told};
 use pollenrouter_dev::deployment::{self, Deployment};
+use rustix::process::Signal;
 
 const METRICS: [&str; 6] = [
     "pollenrouter_calls_total",
@@ -101,3 +102,20 @@
         "{status}"
     );
 }
+
+#[test]
+fn a_daemon_goes_on_when_it_is_told_that_its_settings_changed() {
+    let deployment = Deployment::start(&support::plan(1, 0)).expect("deployment must start");
+    let daemon = deployment.hosts[0]
+        .daemon
+        .as_ref()
+        .expect("daemon must run");
+    daemon.signal(Signal::HUP).expect("daemon must be there");
+    support::until("the daemon tells", || {
+        let lines = daemon.latest();
+        lines.iter().any(|line| line.contains("reload: "))
+    });
+    let list = Call::plain("GET", "/board/refresh", "r1");
+    let ended = caller::call_once(deployment.hosts[0].addresses.public, &list);
+    assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
+}
--- a/crates/router/src/cmd/run.rs
+++ b/crates/router/src/cmd/run.rs
@@ -1,5 +1,8 @@
 //! `pollenrouter run`.
 
+use std::path::Path;
+
+use log::{info, warn};
 use pollenrouter_operator::settings;
 
 use crate::cli;
@@ -14,5 +17,25 @@
     let settings = settings::check(&text)
         .map_err(|findings| Error::Findings(check::print(&args.settings, &findings)))?;
     logging::init(settings.log)?;
-    threads::run(&settings)
+    let path = args.settings.clone();
+    threads::run(&settings, Box::new(move || recheck(&path)))
+}
+
+/// Tells what a restart would make of the settings; they hold until then.
+fn recheck(path: &Path) {
+    let text = match cmd::read(path) {
+        Ok(text) => text,
+        Err(err) => {
+            warn!("reload: {err}; the settings of the start hold");
+            return;
+        }
+    };
+    match settings::check(&text) {
+        Ok(_) => info!("reload: the settings are well-formed and hold from the next start"),
+        Err(findings) => {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            let text = findings.join("; ");
+            warn!("reload: the settings can not be used, those of the start hold: {text}");
+        }
+    }
 }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -17,7 +17,7 @@
 use pollenrouter_platform::client::Client;
 use pollenrouter_platform::object::{Member, MemberState};
 use pollenrouter_target::{announcement, message as target, sender};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::sync::{mpsc as ring, watch};
 use tokio::{runtime, task};
@@ -68,8 +68,11 @@
     rx: ring::Receiver<Event>,
 }
 
+/// Checks the settings again after a change.
+pub type Recheck = Box<dyn Fn() + Send>;
+
 /// Runs a daemon until a planned stop is done.
-pub fn run(settings: &settings::Settings) -> Result<(), Error> {
+pub fn run(settings: &settings::Settings, recheck: Recheck) -> Result<(), Error> {
     let profile = Profile::of(settings);
     let transport = match &settings.keys {
         None => tls::unauthenticated()?,
@@ -139,7 +142,7 @@
         rx,
     };
     start_timer(&tx)?;
-    start_signals(tx)?;
+    start_signals(tx, recheck)?;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -361,11 +364,15 @@
     timer.start()
 }
 
-fn start_signals(tx: event::Sender) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+fn start_signals(tx: event::Sender, recheck: Recheck) -> Result<(), Error> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let work = move || {
-        for _ in signals.forever() {
-            event::deliver(&tx, Event::Stop);
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                recheck();
+            } else {
+                event::deliver(&tx, Event::Stop);
+            }
         }
     };
     thread::Builder::new()
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -129,13 +129,15 @@
             Ok(Err(client::ClientError::Connect(..))) => {
                 return Err(gate::Outcome::NotStarted(Refusal::Unreachable));
             }
-            Err(_) => return Err(lost(&run, "no answer in time")),
-            Ok(Err(client::ClientError::Broken(err))) => return Err(lost(&run, &err.to_string())),
+            Err(_) => return Err(self.lost(&run, "no answer in time")),
+            Ok(Err(client::ClientError::Broken(err))) => {
+                return Err(self.lost(&run, &err.to_string()));
+            }
         };
         let (parts, body) = response.into_parts();
         let body = body::read(body, run.answer_bytes, patience)
             .await
-            .map_err(|err| lost(&run, &err.to_string()))?;
+            .map_err(|err| self.lost(&run, &err.to_string()))?;
         let head = exchange::AnswerHead {
             status: parts.status.as_u16(),
             headers: head::end_to_end(&parts.headers),
@@ -159,18 +161,31 @@
         if let Some(name) = self.convention.echo
             && value(&run.head.headers, name) != value(&head.headers, name)
         {
-            return Err(lost(run, "the answer belongs to another request"));
+            return Err(self.lost(run, "the answer belongs to another request"));
         }
         let success = (200..300).contains(&head.status);
         if let Some(name) = self.convention.signature
             && success
             && value(&head.headers, name).is_none()
         {
-            return Err(lost(run, "the answer has no signature"));
+            return Err(self.lost(run, "the answer has no signature"));
         }
         Ok(())
     }
 
+    fn lost(&self, run: &Run, reason: &str) -> gate::Outcome {
+        let name = self.convention.request_id;
+        let found = run.head.headers.iter().find(|(n, _)| n == name);
+        let request = found.map(|(_, value)| String::from_utf8_lossy(value));
+        warn!(
+            request:% = request.unwrap_or_default(),
+            call:% = call_text(run.id),
+            by:% = run.target;
+            "call lost at the target: {reason}"
+        );
+        gate::Outcome::Lost
+    }
+
     fn is_not_run(&self, head: &exchange::AnswerHead) -> bool {
         let says = head
             .headers
@@ -274,11 +289,6 @@
     }
 }
 
-fn lost(run: &Run, reason: &str) -> gate::Outcome {
-    warn!(call:% = call_text(run.id), target:% = run.target; "call lost at the target: {reason}");
-    gate::Outcome::Lost
-}
-
 fn set(headers: &mut hyper::HeaderMap, name: Option<&'static str>, value: &str) {
     if let (Some(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
         headers.insert(HeaderName::from_static(name), value);
