--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -63,20 +63,13 @@
         }
         let mean = self.times.mean(&offer.route);
         let overall = self.times.overall();
-        let order = (offer.depth, offer.rank, long);
-        let wait = queue::expected_wait(&self.waiting, order, slots, overall);
-        let useful = offer.remaining.saturating_sub(mean);
-        let in_time = if offer.gives_way {
-            offer.objective.saturating_sub(mean).min(useful)
-        } else {
-            useful.max(START_MIN)
-        };
-        let is_late = in_time.is_zero();
-        let patience = if is_late {
-            useful.min(LATE_PATIENCE)
-        } else {
-            in_time
+        let place = queue::Place {
+            depth: offer.depth,
+            rank: offer.rank,
+            long,
         };
+        let wait = queue::expected_wait(&self.waiting, place, slots, overall);
+        let (patience, is_late) = patience(offer, mean);
         if wait > patience || offer.remaining.is_zero() {
             return Err(Refusal::Late);
         }
@@ -87,7 +80,6 @@
             rank: offer.rank,
             long,
             once: offer.once,
-            arrived: now,
             deadline: now + offer.remaining,
             is_late,
             start_by: now + patience.max(START_MIN),
@@ -138,3 +130,18 @@
         }
     }
 }
+
+/// Time that a call may wait for a start, and whether it exceeds the latency owed even
+/// if it starts at once.
+fn patience(offer: &call::Offer, mean: Duration) -> (Duration, bool) {
+    let until_deadline = offer.remaining.saturating_sub(mean);
+    if !offer.gives_way {
+        return (until_deadline.max(START_MIN), false);
+    }
+    let in_time = offer.objective.saturating_sub(mean).min(until_deadline);
+    if in_time.is_zero() {
+        (until_deadline.min(LATE_PATIENCE), true)
+    } else {
+        (in_time, false)
+    }
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -19,8 +19,6 @@
     pub long: bool,
     /// Whether it may run at most once.
     pub once: bool,
-    /// When it arrived.
-    pub arrived: Duration,
     /// When it must be answered.
     pub deadline: Duration,
     /// Whether an answer exceeds the latency owed however soon it starts.
@@ -89,14 +87,21 @@
         .map(|(at, _)| at)
 }
 
+/// What decides the place of a call among those that wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// 0 for the public.
+    pub depth: u8,
+    /// Rank of its route; 0 goes first.
+    pub rank: u8,
+    /// Whether its work is long.
+    pub long: bool,
+}
+
 /// Expected wait of a call that would join now.
 #[must_use]
-pub fn expected_wait(
-    waiting: &[Waiting],
-    (depth, rank, long): (u8, u8, bool),
-    slots: Slots,
-    mean: Duration,
-) -> Duration {
+pub fn expected_wait(waiting: &[Waiting], place: Place, slots: Slots, mean: Duration) -> Duration {
+    let Place { depth, rank, long } = place;
     if slots.admits(depth, long) && waiting.is_empty() {
         return Duration::ZERO;
     }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -14,7 +14,8 @@
 use crate::server;
 use crate::tls;
 
-const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for replies that were sent and not yet received at the end.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(500);
 const FINISH_CHECK: Duration = Duration::from_millis(10);
 
 /// Takes events; tells whether there was room.
--- /dev/null
+++ b/crates/router/src/fleet/departures.rs
@@ -0,0 +1,99 @@
+//! Departures of targets on this host: what of them outlasts this daemon.
+
+use log::warn;
+use pollenrouter_core::gate::target::Life;
+use pollenrouter_core::{id, membership, replica};
+use pollenrouter_daemon::message::Command;
+use pollenrouter_platform::object::{self, Member, MemberState};
+
+use super::{Effect, Fleet};
+
+/// Daemons that are asked to keep a departure while the platform is out.
+const KEEPERS_ASKED: usize = 4;
+/// Daemons that must keep a departure before it is acknowledged: one may be lost.
+const KEEPERS_MIN: usize = 2;
+/// Departed lives that a member's object holds.
+const DEPARTED_MAX: usize = 16;
+
+impl Fleet {
+    /// The life of a target on this host leaves; its object at the platform will say so.
+    pub fn depart(&mut self, life: Life) {
+        if self.own.departed.contains(&life) {
+            return;
+        }
+        self.own.departed.push(life);
+        let excess = self.own.departed.len().saturating_sub(DEPARTED_MAX);
+        self.own.departed.drain(..excess);
+        self.register();
+    }
+
+    /// Has other daemons keep a departure that the platform has not taken.
+    pub fn entrust(&mut self, life: &Life) -> Vec<Effect> {
+        let object = replica::Object {
+            key: object::departure_key(&self.own.host, life),
+            version: 1,
+            value: serde_json::to_string(life).unwrap_or_default().into(),
+        };
+        let read = membership::Input::Read(vec![object.clone()], rand::random());
+        let mut effects = self.step(read);
+        let others = self
+            .members
+            .values()
+            .filter(|member| member.state != MemberState::Left && member.host != self.own.host);
+        let hosts = others.map(|member| &member.host);
+        let mut hosts: Vec<id::HostName> = hosts.cloned().collect();
+        let first = usize::from(rand::random::<u16>()) % hosts.len().max(1);
+        hosts.rotate_left(first);
+        for host in hosts.into_iter().take(KEEPERS_ASKED) {
+            if let Some(peer) = self.peer(&host) {
+                let message = membership::Message {
+                    objects: vec![object.clone()],
+                    ..membership::Message::default()
+                };
+                effects.push(Effect::Send(Command::Keep(peer, self.letter(message))));
+            }
+        }
+        effects
+    }
+
+    /// Takes the word of another daemon that it keeps objects; returns departures of
+    /// this host that enough daemons keep now.
+    pub fn kept(&mut self, host: &id::HostName, objects: &[replica::Object]) -> Vec<Life> {
+        let mut enough = Vec::new();
+        for object in objects {
+            let keepers = self.keepers.entry(object.key.clone()).or_default();
+            keepers.insert(host.clone());
+            if keepers.len() >= KEEPERS_MIN {
+                enough.extend(self.departure(object));
+            }
+        }
+        enough
+    }
+
+    /// The life of a target on this host that an object says has left.
+    pub(super) fn departure(&self, object: &replica::Object) -> Option<Life> {
+        let rest = object.key.strip_prefix(object::DEPARTURES)?;
+        let (host, _) = rest.split_once('/')?;
+        if self.own.host != host {
+            return None;
+        }
+        match serde_json::from_str(&object.value) {
+            Ok(life) => Some(life),
+            Err(err) => {
+                warn!(key:% = object.key; "could not read a departure: {err}");
+                None
+            }
+        }
+    }
+
+    /// This daemon's own object stands at the platform.
+    pub(super) fn registered(&mut self, member: &Member, effects: &mut Vec<Effect>) {
+        for life in &member.departed {
+            if !self.own.departed.contains(life) {
+                self.own.departed.push(life.clone());
+            }
+            effects.push(Effect::Departed(life.clone()));
+        }
+        effects.push(Effect::Synced);
+    }
+}
