--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,6 +7,8 @@
 
 mod again;
 mod attempt;
+mod end;
+mod intake;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -264,40 +266,6 @@
         }
     }
 
-    fn call(&mut self, now: Duration, request: Request, out: &mut Vec<Output>) {
-        self.deposit(&request);
-        let token = request.token;
-        let pending = Pending {
-            deadline: now + request.remaining,
-            objective: now + request.objective.saturating_sub(self.waited(&request)),
-            request,
-            attempt: None,
-            tried: Vec::new(),
-            arrivals: 0,
-            maybe_ran: false,
-            failure: None,
-        };
-        let wrong = self.wrong_ticket(&pending.request);
-        self.pending.insert(token, pending);
-        match wrong {
-            Some(refusal) => self.conclude(token, Err(refusal), out),
-            None => self.attempt(now, token, Refusal::NoTarget, out),
-        }
-    }
-
-    fn wrong_ticket(&self, request: &Request) -> Option<Refusal> {
-        let ticket = request.ticket.as_ref()?;
-        if ticket.service != request.service {
-            return Some(Refusal::WrongService);
-        }
-        let differs = |token: &Token| {
-            let other = self.pending.get(token);
-            other.is_some_and(|p| p.request.fingerprint != request.fingerprint)
-        };
-        let in_use = self.tokens(ticket.id).iter().any(differs);
-        in_use.then_some(Refusal::WrongRequest)
-    }
-
     fn reply(&mut self, now: Duration, id: id::CallId, reply: Reply, out: &mut Vec<Output>) {
         for token in self.tokens(id) {
             self.close_attempt(id, token);
@@ -310,26 +278,6 @@
         }
     }
 
-    /// Time since the caller's first try, as far as its deadline tells.
-    fn waited(&mut self, request: &Request) -> Duration {
-        let Some(stated) = request.shared_deadline else {
-            return Duration::ZERO;
-        };
-        let longest = self.deadlines.entry(request.route.clone()).or_default();
-        *longest = stated.max(*longest);
-        longest.saturating_sub(stated)
-    }
-
-    fn deposit(&mut self, request: &Request) {
-        let members = self.gates.len();
-        let budget = self
-            .budgets
-            .entry(request.service.clone())
-            .or_insert_with(|| bucket::RetryBudget::new(request.retry_slack, members));
-        budget.resize(request.retry_slack, members);
-        budget.deposit(request.retry_percent);
-    }
-
     fn pick(
         &self,
         now: Duration,
@@ -351,18 +299,6 @@
         self.by_id.get(&id).cloned().unwrap_or_default()
     }
 
-    fn gone(&mut self, token: Token, out: &mut Vec<Output>) {
-        let Some(pending) = self.pending.get(&token) else {
-            return;
-        };
-        if let Some(attempt) = &pending.attempt {
-            let attempt = attempt.clone();
-            self.withdraw(token, &attempt, out);
-            self.close_attempt(attempt.about.id, token);
-        }
-        self.pending.remove(&token);
-    }
-
     fn tick(&mut self, now: Duration, out: &mut Vec<Output>) {
         let over: Vec<Token> = self
             .pending
@@ -381,75 +317,4 @@
             }
         }
     }
-
-    /// Withdraws an attempt that nobody else waits for.
-    fn withdraw(&self, token: Token, attempt: &Attempt, out: &mut Vec<Output>) {
-        if self.tokens(attempt.about.id) == [token] {
-            out.push(Output::Withdraw(attempt.host.clone(), attempt.about));
-        }
-    }
-
-    fn give_up(&mut self, token: Token, out: &mut Vec<Output>) {
-        let attempt = self.pending.get(&token).and_then(|p| p.attempt.clone());
-        if let Some(attempt) = attempt {
-            self.withdraw(token, &attempt, out);
-        }
-        self.finish(token, Verdict::Unknown(Doubt::Silent), out);
-    }
-
-    fn close_attempt(&mut self, id: id::CallId, token: Token) {
-        let Some(tokens) = self.by_id.get_mut(&id) else {
-            return;
-        };
-        if !tokens.contains(&token) {
-            return;
-        }
-        tokens.retain(|other| *other != token);
-        if tokens.is_empty() {
-            self.by_id.remove(&id);
-        }
-        let attempt = self.pending.get(&token).and_then(|p| p.attempt.as_ref());
-        if let Some(attempt) = attempt {
-            self.gates.closed(&attempt.host);
-        }
-    }
-
-    fn conclude(
-        &mut self,
-        token: Token,
-        result: Result<id::CallId, Refusal>,
-        out: &mut Vec<Output>,
-    ) {
-        let maybe_ran = self.pending.get(&token).is_some_and(|p| p.maybe_ran);
-        let verdict = match result {
-            Ok(id) => Verdict::Answer(id),
-            Err(_) if maybe_ran => Verdict::Unknown(Doubt::EarlierAttempt),
-            Err(refusal) => Verdict::NotRun(refusal),
-        };
-        self.finish(token, verdict, out);
-    }
-
-    fn finish(&mut self, token: Token, verdict: Verdict, out: &mut Vec<Output>) {
-        let open = self.pending.get(&token).and_then(|p| p.attempt.as_ref());
-        if let Some(id) = open.map(|attempt| attempt.about.id) {
-            self.close_attempt(id, token);
-        }
-        let Some(pending) = self.pending.remove(&token) else {
-            return;
-        };
-        // A call that may repeat is sent again without one.
-        let verdict = match (verdict, pending.failure) {
-            (Verdict::Answer(id), _) => Verdict::Answer(id),
-            (_, Some(id)) => Verdict::Failure(id),
-            (verdict, None) => verdict,
-        };
-        let once = pending.request.once;
-        let ticket = pending.attempt.filter(|_| once).map(|attempt| id::Ticket {
-            service: pending.request.service,
-            host: attempt.host,
-            incarnation: attempt.about.incarnation,
-            id: attempt.about.id,
-        });
-        out.push(Output::Done(token, verdict, ticket));
-    }
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod answers;
+mod questions;
 pub mod target;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -17,7 +18,7 @@
 use crate::hint;
 use crate::id;
 use crate::queue;
-use crate::records::{self, Known, State};
+use crate::records::{self, State};
 use crate::service;
 use crate::size;
 
@@ -268,66 +269,6 @@
         }
     }
 
-    fn resend(id: id::CallId, record: records::Record, fingerprint: u64, out: &mut Vec<Output>) {
-        if differs(record.fingerprint, fingerprint) {
-            out.push(Output::Mismatch(id));
-            return;
-        }
-        let reply = match record.state {
-            State::Waiting | State::Running => return,
-            State::Done { kept: true } => Reply::Answer,
-            State::Done { kept: false } => Reply::Unknown(Doubt::AnswerNotKept),
-            State::Lost => Reply::Unknown(Doubt::TargetLost),
-            State::Void(refusal) => Reply::NotRun(refusal),
-        };
-        out.push(Output::Reply(id, reply));
-    }
-
-    fn query(&mut self, query: call::Query, out: &mut Vec<Output>) {
-        let id = query.id;
-        if query.incarnation != self.incarnation {
-            out.push(Output::Reply(id, Reply::Unknown(Doubt::GateGone)));
-            return;
-        }
-        match self.records.known(id) {
-            Known::Record(record) => {
-                let matches = !differs(record.fingerprint, query.fingerprint);
-                if record.state == State::Waiting && matches {
-                    self.unqueue(id);
-                    self.refuse(id, Refusal::Void, None, out);
-                } else {
-                    Self::resend(id, record, query.fingerprint, out);
-                }
-            }
-            Known::Expired => out.push(Output::Reply(id, Reply::Unknown(Doubt::TicketExpired))),
-            Known::New => self.refuse(id, Refusal::Void, Some(query.fingerprint), out),
-        }
-    }
-
-    fn withdraw(&mut self, query: call::Query, out: &mut Vec<Output>) {
-        let id = query.id;
-        if query.incarnation != self.incarnation {
-            return;
-        }
-        if let Some(running) = self.running.get(&id) {
-            if !running.once {
-                out.push(Output::Cancel(id));
-            }
-            return;
-        }
-        let open = match self.records.known(id) {
-            Known::New => true,
-            Known::Expired => false,
-            Known::Record(record) => {
-                record.state == State::Waiting && !differs(record.fingerprint, query.fingerprint)
-            }
-        };
-        if open {
-            self.unqueue(id);
-            self.refuse(id, Refusal::Cancelled, Some(query.fingerprint), out);
-        }
-    }
-
     fn unqueue(&mut self, id: id::CallId) {
         self.waiting.retain(|w| w.id != id);
     }
--- /dev/null
+++ b/crates/core/tests/crest.rs
@@ -0,0 +1,165 @@
+//! Load above capacity at one gate: what callers get when calls that can not be in
+//! time give way, and when they do not.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pollenrouter_core::call::{Offer, Reply};
+use pollenrouter_core::gate::{Announcement, Gate, Input, Outcome, Output};
+use pollenrouter_core::id::CallId;
+use pollenrouter_core::service::{Limits, Measuring, Service};
+use rstest::rstest;
+
+const SERVICE: &str = "board";
+const INCARNATION: u64 = 7;
+const SLOTS: u32 = 4;
+const WORK: Duration = Duration::from_millis(50);
+const OBJECTIVE: Duration = Duration::from_millis(200);
+const DEADLINE: Duration = Duration::from_millis(1200);
+/// Twice what the slots can do.
+const BETWEEN_ARRIVALS: Duration = Duration::from_micros(6250);
+const STEP: Duration = Duration::from_micros(50);
+const CALLS: u64 = 1600;
+/// A call that is refused hears so within this part of the latency owed.
+const REFUSED_WITHIN: Duration = OBJECTIVE;
+
+struct Case {
+    gives_way: bool,
+    /// Share of the capacity that is answered in time, in hundredths: the least, and
+    /// the most.
+    in_time: (u64, u64),
+}
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Got {
+    in_time: u64,
+    late: u64,
+    refused: u64,
+    slowest_refusal: Duration,
+}
+
+#[rstest]
+#[case::giving_way(Case { gives_way: true, in_time: (90, 100) })]
+#[case::waiting_on(Case { gives_way: false, in_time: (0, 20) })]
+fn the_crest_is_served_in_time_where_late_calls_give_way(#[case] case: Case) {
+    let got = play(case.gives_way);
+    let capacity = capacity();
+    let share = got.in_time * 100 / capacity;
+    let (least, most) = case.in_time;
+    assert!((least..=most).contains(&share), "{share} in 100: {got:?}");
+    assert_eq!(got.in_time + got.late + got.refused, CALLS, "{got:?}");
+    assert!(
+        !case.gives_way || got.slowest_refusal <= REFUSED_WITHIN,
+        "{got:?}"
+    );
+}
+
+/// Calls that the slots can end from the first arrival until the last one's answer is
+/// late.
+fn capacity() -> u64 {
+    let calls = u32::try_from(CALLS).unwrap_or(u32::MAX);
+    let time = BETWEEN_ARRIVALS * calls + OBJECTIVE;
+    let rounds = time.as_micros() / WORK.as_micros();
+    u64::try_from(rounds).unwrap_or(u64::MAX) * u64::from(SLOTS)
+}
+
+fn play(gives_way: bool) -> Got {
+    let mut gate = gate();
+    let mut got = Got::default();
+    let mut arrived = BTreeMap::new();
+    let mut running: BTreeMap<(Duration, u64), CallId> = BTreeMap::new();
+    let mut now = Duration::ZERO;
+    let end = BETWEEN_ARRIVALS * u32::try_from(CALLS).unwrap_or(u32::MAX) + DEADLINE * 2;
+    while now < end {
+        let mut inputs = vec![Input::Tick];
+        while running
+            .first_key_value()
+            .is_some_and(|((at, _), _)| *at <= now)
+        {
+            if let Some((_, id)) = running.pop_first() {
+                let outcome = Outcome::Answered {
+                    bytes: 1,
+                    failed: false,
+                };
+                inputs.push(Input::Finished(id, outcome));
+            }
+        }
+        let due = u64::try_from(now.as_micros() / BETWEEN_ARRIVALS.as_micros()).unwrap_or(0);
+        while (arrived.len() as u64) < due.min(CALLS) {
+            let seq = arrived.len() as u64 + 1;
+            arrived.insert(seq, now);
+            inputs.push(Input::Offer(offer(seq, gives_way)));
+        }
+        for output in inputs.into_iter().flat_map(|input| gate.step(now, input)) {
+            match output {
+                Output::Start { id, .. } => {
+                    running.insert((now + WORK, id.seq), id);
+                }
+                Output::Reply(id, reply) => got.note(reply, now.saturating_sub(arrived[&id.seq])),
+                _ => {}
+            }
+        }
+        now += STEP;
+    }
+    got
+}
+
+impl Got {
+    fn note(&mut self, reply: Reply, took: Duration) {
+        match reply {
+            Reply::Answer if took <= OBJECTIVE => self.in_time += 1,
+            Reply::Answer => self.late += 1,
+            _ => {
+                self.refused += 1;
+                self.slowest_refusal = self.slowest_refusal.max(took);
+            }
+        }
+    }
+}
+
+fn gate() -> Gate {
+    let mut gate = Gate::new(INCARNATION, 1 << 16);
+    let announcement = Announcement {
+        service: SERVICE.into(),
+        slots: SLOTS,
+        ..Announcement::default()
+    };
+    // The target announces itself once; the days of this test are short.
+    gate = gate.with_announcement_ttl(DEADLINE * 100);
+    gate.step(Duration::ZERO, Input::Announced(announcement));
+    let document = Service {
+        name: SERVICE.into(),
+        internal_callers: Vec::new(),
+        routes: Vec::new(),
+        limits: Limits {
+            depth_levels: 0,
+            queue: 1000,
+            ..Limits::default()
+        },
+        measuring: Measuring::default(),
+    };
+    gate.step(Duration::ZERO, Input::Document(document));
+    gate
+}
+
+fn offer(seq: u64, gives_way: bool) -> Offer {
+    Offer {
+        incarnation: INCARNATION,
+        id: CallId {
+            entry: 1,
+            seq,
+            nonce: seq,
+        },
+        service: SERVICE.into(),
+        route: "refresh".into(),
+        depth: 0,
+        rank: 0,
+        remaining: DEADLINE,
+        objective: OBJECTIVE,
+        gives_way,
+        once: false,
+        fingerprint: seq,
+        vouched: true,
+    }
+}
--- a/crates/core/tests/gates.rs
+++ b/crates/core/tests/gates.rs
@@ -78,3 +78,30 @@
     let picked = gates.pick(now, SERVICE, "", 0, &[], Duration::MAX);
     assert_eq!(picked.is_some(), case.picked);
 }
+
+struct FarCase {
+    hint: Hint,
+    picked: bool,
+}
+
+#[rstest]
+#[case::with_room(FarCase { hint: Hint { running: 1, slots: 4, closed: false, ..CLOSED }, picked: true })]
+#[case::full(FarCase { hint: Hint { running: 4, slots: 4, closed: false, mean: MEAN, ..CLOSED }, picked: false })]
+#[case::too_slow(FarCase { hint: Hint { slots: 4, closed: false, mean: PATIENCE, slowness: 200, ..CLOSED }, picked: false })]
+fn another_failure_domain_is_asked_only_while_it_has_room(#[case] case: FarCase) {
+    let mut gates = Gates::default();
+    gates.set(vec![Member {
+        host: HOST.into(),
+        service: SERVICE.into(),
+        failure_domain: "leoben".into(),
+        serving: true,
+        ..Member::default()
+    }]);
+    let now = Duration::from_secs(1);
+    gates.note(now, &HOST.into(), case.hint);
+    let picked = gates.pick(now, SERVICE, "graz-nord", 0, &[], PATIENCE);
+    assert_eq!(picked.is_some(), case.picked);
+}
+
+const MEAN: Duration = Duration::from_millis(50);
+const PATIENCE: Duration = Duration::from_millis(200);
--- a/crates/core/tests/model/actions.rs
+++ b/crates/core/tests/model/actions.rs
@@ -62,7 +62,6 @@
         draw: 1,
         attempts: 3,
         objective: DEADLINE,
-        gives_way: true,
         ..Request::default()
     };
     world.entry_step(entry, entry::Input::Call(request));
--- a/crates/core/tests/scenarios/script.rs
+++ b/crates/core/tests/scenarios/script.rs
@@ -119,7 +119,6 @@
             depth,
             remaining,
             objective: remaining,
-            gives_way: true,
             attempts: 3,
             once: route == "assign",
             fingerprint: number,
--- a/crates/http/src/convention.rs
+++ b/crates/http/src/convention.rs
@@ -1,7 +1,5 @@
 //! Names of headers and paths, where a deployment may have its own.
 
-use std::time::Duration;
-
 /// Reads from the text of a header how long work takes, in hundredths of the usual.
 pub type ReadSlowness = fn(&str) -> Option<u32>;
 
@@ -37,8 +35,6 @@
     /// Whether a target is told by a request of its own that an answer is no longer
     /// wanted; else its connection is closed.
     pub cancels: bool,
-    /// Time after the deadline for which the answer to a started call is awaited.
-    pub answer_wait: Duration,
     /// Path at which a target tells its health.
     pub health_path: &'static str,
     /// Whether the system's own headers and tickets are spoken with callers.
@@ -64,7 +60,6 @@
     signature: None,
     load: None,
     cancels: true,
-    answer_wait: Duration::from_mins(1),
     health_path: "/.target/health",
     tickets: true,
     retry_fractions: false,
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -12,6 +12,10 @@
 use crate::finding::Finding;
 
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 60_000;
+/// Whether daemons authenticate each other: without keys only if that is said.
+const AUTHENTICATION: [(&str, bool); 2] = [("authenticated", true), ("unauthenticated", false)];
+/// A target that does not stop at the deadline may still answer.
+const DEFAULT_ANSWER_WAIT_MS: u64 = 60_000;
 /// A target is believed for three periods after an announcement.
 const DEFAULT_ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
 /// Part of the time until a stop is enforced that is left for the last answers.
@@ -33,11 +37,14 @@
     pub service: Option<id::ServiceName>,
     /// Address of that target, where it is known beforehand.
     pub target: Option<SocketAddr>,
+    /// Time after the deadline for which the answer to a started call is awaited.
+    pub answer_wait: Duration,
     /// Time between two announcements of a target.
     pub announce_period: Duration,
     /// Addresses to listen on.
     pub listen: Listen,
-    /// Keys, in PEM; without them daemons do not authenticate each other.
+    /// Keys, in PEM; `None` where the settings say that daemons are not
+    /// authenticated.
     pub keys: Option<Keys>,
     /// Bounds of services whose configuration states none.
     pub limits: Limits,
@@ -107,7 +114,16 @@
     let grace = f.optional("grace_s", Fields::seconds);
     let retry = f.optional("retry", |f, name| f.mapping(name, retry));
     let listen = f.mapping("listen", listen);
-    let keys = f.optional("keys", |f, name| f.mapping(name, keys));
+    let authenticated = f.word("daemons", &AUTHENTICATION, Some(true));
+    let keys = match authenticated {
+        Some(false) => Some(None),
+        _ => f.mapping("keys", keys).map(Some),
+    };
+    let answer_wait = f.number(
+        "answer_wait_ms",
+        0..=STOP_TIMEOUT_MAX_MS,
+        Some(DEFAULT_ANSWER_WAIT_MS),
+    );
     let limits = f.optional_mapping("limits", Limits::default(), document::limits);
     let stop = f.number(
         "stop_timeout_ms",
@@ -128,6 +144,7 @@
         profile: profile?,
         service: service?,
         target: target?,
+        answer_wait: Duration::from_millis(answer_wait?),
         announce_period: period?.unwrap_or(DEFAULT_ANNOUNCE_PERIOD),
         listen: listen?,
         keys: keys?,
--- a/crates/operator/tests/findings.rs
+++ b/crates/operator/tests/findings.rs
@@ -86,6 +86,23 @@
     findings.iter().map(ToString::to_string).collect()
 }
 
+/// Nobody goes without keys by leaving them out.
+#[test]
+fn settings_without_keys_have_to_say_so() {
+    let whole = include_str!("../../../examples/settings.yaml");
+    let keys = whole.find("keys:").expect("example must have keys");
+    let rest = whole.find("stop_timeout_ms").expect("example must go on");
+    let without = format!("{}{}", &whole[..keys], &whole[rest..]);
+    let findings = texts(settings::check(&without));
+    assert_eq!(findings.len(), 1, "{findings:?}");
+    assert!(
+        findings[0].ends_with("field `keys` is missing"),
+        "{findings:?}"
+    );
+    let said = format!("daemons: unauthenticated\n{without}");
+    assert_eq!(texts(settings::check(&said)), Vec::<String>::new());
+}
+
 #[test]
 fn settings_with_five_mistakes_name_all_five() {
     assert_eq!(texts(settings::check(SETTINGS.text)), SETTINGS.findings);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Members, documents and gossip of one daemon.
 
 mod departures;
+mod tables;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net;
@@ -10,7 +11,7 @@
 use log::{info, warn};
 use pollenrouter_core::gate::target::Life;
 use pollenrouter_core::membership::{self, Membership};
-use pollenrouter_core::{documents, entry, id, replica, service, share, table, tables};
+use pollenrouter_core::{documents, entry, id, replica, service, share, table};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
 use pollenrouter_platform::client::Listing;
@@ -76,7 +77,7 @@
     own: Member,
     membership: Membership,
     documents: documents::Documents,
-    tables: tables::Tables,
+    tables: pollenrouter_core::tables::Tables,
     profile: Profile,
     members: BTreeMap<id::HostName, Member>,
     versions: BTreeMap<id::HostName, id::Version>,
@@ -94,7 +95,7 @@
         let mut fleet = Self {
             membership: Membership::new(membership_member(&own)),
             documents: documents::Documents::default(),
-            tables: tables::Tables::default(),
+            tables: pollenrouter_core::tables::Tables::default(),
             profile,
             members: BTreeMap::new(),
             versions: BTreeMap::new(),
@@ -296,62 +297,6 @@
         self.members.insert(member.host.clone(), member);
     }
 
-    fn document_changed(&mut self, change: documents::Change, effects: &mut Vec<Effect>) {
-        match change {
-            documents::Change::InForce { from, to, service } => {
-                info!(service:% = service.name, from, to; "document in force");
-                self.compile(effects);
-            }
-            documents::Change::Rejected {
-                name,
-                version,
-                findings,
-            } => {
-                let text = findings.join("; ");
-                warn!(service:% = name, version; "document rejected: {text}");
-                // The verdict is the same everywhere, so a few daemons note it.
-                if self.membership.is_watcher() {
-                    self.write(Write::Rejected(name, version, findings));
-                }
-            }
-        }
-    }
-
-    /// Compiles the documents in force into the table in force.
-    fn compile(&mut self, effects: &mut Vec<Effect>) {
-        let callers = table::CallerLimits::default();
-        let table = table::Table::of_documents(self.documents.in_force(), callers);
-        self.learn(table, effects);
-    }
-
-    fn table_changed(&mut self, object: &replica::Object, effects: &mut Vec<Effect>) {
-        let Some(read) = self.profile.table else {
-            return;
-        };
-        match read(&object.value, &self.profile.limits) {
-            Ok(table) => {
-                self.shared.set(|known| known.is_confirmed = true);
-                self.learn(table, effects);
-            }
-            Err(findings) => {
-                let text = findings.join("; ");
-                warn!(key:% = object.key, revision = object.version; "table rejected: {text}");
-            }
-        }
-    }
-
-    fn learn(&mut self, table: table::Table, effects: &mut Vec<Effect>) {
-        let Some(tables::Change { from, to }) = self.tables.learn(table) else {
-            return;
-        };
-        info!(from, to; "table in force");
-        let Some(table) = self.tables.get().cloned() else {
-            return;
-        };
-        effects.extend(table.services.values().cloned().map(Effect::Document));
-        self.shared.set(|known| known.table = Some(table));
-    }
-
     fn members_changed(&mut self, effects: &mut Vec<Effect>) {
         let there = |member: &&Member| member.state != MemberState::Left;
         let peers = self.members.values().filter(there).map(membership_member);
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
 use pollenrouter_caller::listener as callers;
 use pollenrouter_core::{id, membership, service, table};
 use pollenrouter_daemon::{keys, message as daemon, peer, tls};
@@ -57,6 +57,7 @@
     incarnation: id::Incarnation,
     convention: Convention,
     announcements: announcement::Read,
+    answer_wait: Duration,
     service: Option<id::ServiceName>,
     target: Option<SocketAddr>,
     commands: ring::Receiver<daemon::Command>,
@@ -75,7 +76,10 @@
 pub fn run(settings: &settings::Settings, recheck: Recheck) -> Result<(), Error> {
     let profile = Profile::of(settings);
     let transport = match &settings.keys {
-        None => tls::unauthenticated()?,
+        None => {
+            warn!("daemons are not authenticated: the settings hold no keys and say so");
+            tls::unauthenticated()?
+        }
         Some(keys) => tls::transport(&keys::Keys {
             authority: keys.authority.to_string(),
             certificate: keys.certificate.to_string(),
@@ -131,6 +135,7 @@
         incarnation,
         convention,
         announcements,
+        answer_wait: settings.answer_wait,
         service: settings.service.clone(),
         target: settings.target,
         commands: daemon_commands,
@@ -220,6 +225,7 @@
         incarnation,
         convention,
         announcements,
+        answer_wait,
         service,
         target,
         commands,
@@ -243,6 +249,7 @@
     let events = tx.clone();
     let sender = sender::Sender::new(
         convention,
+        answer_wait,
         Rc::new(move |event| events.try_send(Event::Target(event)).or_else(returned)),
     );
     let announced = announcement::Context {
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -43,17 +43,20 @@
     client: Rc<RefCell<Option<client::Client>>>,
     cancels: Rc<RefCell<HashMap<id::CallId, Rc<Notify>>>>,
     convention: Convention,
+    answer_wait: Duration,
     sink: Sink,
 }
 
 impl Sender {
-    /// A sender without a target.
+    /// A sender without a target; the answer to a started call is awaited for
+    /// `answer_wait` after its deadline.
     #[must_use]
-    pub fn new(convention: Convention, sink: Sink) -> Self {
+    pub fn new(convention: Convention, answer_wait: Duration, sink: Sink) -> Self {
         Self {
             client: Rc::default(),
             cancels: Rc::default(),
             convention,
+            answer_wait,
             sink,
         }
     }
@@ -117,7 +120,7 @@
             return Err(gate::Outcome::NotStarted(Refusal::Late));
         }
         let request = self.request(client.address(), &run, remaining)?;
-        let patience = remaining + self.convention.answer_wait;
+        let patience = remaining + self.answer_wait;
         let idle_max = if run.once {
             ONCE_IDLE_MAX
         } else {
