Plain names for copies of departures and for the overload test

Cause: read as a newcomer, `entrust`, `keepers`, `letter` and `crest` needed explaining. Renamed only: copy_departure, holders, gossip_of, tests/overload.rs.

--- a/crates/core/tests/crest.rs
+++ b/crates/core/tests/overload.rs
@@ -42,7 +42,7 @@
 #[rstest]
 #[case::giving_way(Case { gives_way: true, in_time: (90, 100) })]
 #[case::waiting_on(Case { gives_way: false, in_time: (0, 20) })]
-fn the_crest_is_served_in_time_where_late_calls_give_way(#[case] case: Case) {
+fn overload_is_served_in_time_where_late_calls_give_way(#[case] case: Case) {
     let got = play(case.gives_way);
     let capacity = capacity();
     let share = got.in_time * 100 / capacity;
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -127,10 +127,10 @@
                         (client.sink)(Event::Reachable(peer.host));
                     }
                 }
-                Command::Keep(peer, gossip) => {
+                Command::Copy(peer, gossip) => {
                     let objects = gossip.objects.clone();
                     if client.tell(&peer, &Tell::Gossip(gossip)).await.is_ok() {
-                        (client.sink)(Event::Kept(peer.host, objects));
+                        (client.sink)(Event::Copied(peer.host, objects));
                     }
                 }
                 Command::Gossip(peer, gossip) => {
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -72,7 +72,7 @@
     /// Send objects or a digest.
     Gossip(Peer, Gossip),
     /// Send objects, and tell when the daemon has them.
-    Keep(Peer, Gossip),
+    Copy(Peer, Gossip),
     /// Find out whether a daemon can be reached.
     Probe(Peer),
 }
@@ -96,7 +96,7 @@
     /// A connection failed while a call was open.
     Lost(id::HostName, id::CallId, entry::Sent),
     /// A daemon has these objects now.
-    Kept(id::HostName, Vec<replica::Object>),
+    Copied(id::HostName, Vec<replica::Object>),
     /// A daemon did not accept a gossip message.
     Unreachable(id::HostName),
     /// A daemon accepted a probe.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -84,8 +84,8 @@
     /// Version of this daemon's latest registration, once it took effect.
     registered_at: Option<id::Version>,
     heard_from: BTreeMap<id::HostName, net::SocketAddr>,
-    /// Daemons that keep a departure of this host, by its key.
-    keepers: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
+    /// Daemons that hold a departure of this host, by its key.
+    holders: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
     shared: Shared,
 }
 
@@ -101,7 +101,7 @@
             versions: BTreeMap::new(),
             registered_at: None,
             heard_from: BTreeMap::new(),
-            keepers: BTreeMap::new(),
+            holders: BTreeMap::new(),
             own,
             shared,
         };
@@ -232,10 +232,10 @@
 
     fn gossip(&self, host: &id::HostName, message: membership::Message) -> Option<Effect> {
         let peer = self.peer(host)?;
-        Some(Effect::Send(Command::Gossip(peer, self.letter(message))))
+        Some(Effect::Send(Command::Gossip(peer, self.gossip_of(message))))
     }
 
-    fn letter(&self, message: membership::Message) -> Gossip {
+    fn gossip_of(&self, message: membership::Message) -> Gossip {
         Gossip {
             host: self.own.host.clone(),
             address: self.own.address,
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -8,10 +8,10 @@
 
 use super::{Effect, Fleet};
 
-/// Daemons that are asked to keep a departure while the platform is out.
-const KEEPERS_ASKED: usize = 4;
-/// Daemons that must keep a departure before it is acknowledged: one may be lost.
-const KEEPERS_MIN: usize = 2;
+/// Daemons that are asked to hold a departure while the platform is out.
+const COPIES_ASKED: usize = 4;
+/// Daemons that must hold a departure before it is acknowledged: one may be lost.
+const COPIES_MIN: usize = 2;
 /// Departed lives that a member's object holds.
 const DEPARTED_MAX: usize = 16;
 
@@ -27,8 +27,8 @@
         self.register();
     }
 
-    /// Has other daemons keep a departure that the platform has not taken.
-    pub fn entrust(&mut self, life: &Life) -> Vec<Effect> {
+    /// Has other daemons hold a copy of a departure that the platform has not taken.
+    pub fn copy_departure(&mut self, life: &Life) -> Vec<Effect> {
         let object = replica::Object {
             key: object::departure_key(&self.own.host, life),
             version: 1,
@@ -44,26 +44,26 @@
         let mut hosts: Vec<id::HostName> = hosts.cloned().collect();
         let first = usize::from(rand::random::<u16>()) % hosts.len().max(1);
         hosts.rotate_left(first);
-        for host in hosts.into_iter().take(KEEPERS_ASKED) {
+        for host in hosts.into_iter().take(COPIES_ASKED) {
             if let Some(peer) = self.peer(&host) {
                 let message = membership::Message {
                     objects: vec![object.clone()],
                     ..membership::Message::default()
                 };
-                effects.push(Effect::Send(Command::Keep(peer, self.letter(message))));
+                effects.push(Effect::Send(Command::Copy(peer, self.gossip_of(message))));
             }
         }
         effects
     }
 
-    /// Takes the word of another daemon that it keeps objects; returns departures of
-    /// this host that enough daemons keep now.
-    pub fn kept(&mut self, host: &id::HostName, objects: &[replica::Object]) -> Vec<Life> {
+    /// Takes the word of another daemon that it holds objects; returns departures of
+    /// this host that enough daemons hold now.
+    pub fn copied(&mut self, host: &id::HostName, objects: &[replica::Object]) -> Vec<Life> {
         let mut enough = Vec::new();
         for object in objects {
-            let keepers = self.keepers.entry(object.key.clone()).or_default();
-            keepers.insert(host.clone());
-            if keepers.len() >= KEEPERS_MIN {
+            let holders = self.holders.entry(object.key.clone()).or_default();
+            holders.insert(host.clone());
+            if holders.len() >= COPIES_MIN {
                 enough.extend(self.departure(object));
             }
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,7 +18,7 @@
 use crate::routes;
 use crate::status;
 
-/// A departure that the platform has not taken by then is entrusted to other
+/// A departure that the platform has not taken by then is copied to other
 /// daemons; a target waits one second for an acknowledgement.
 const PLATFORM_PATIENCE: Duration = Duration::from_millis(250);
 /// Least time between the news that this daemon leaves and its end.
@@ -44,8 +44,8 @@
 struct Leaving {
     life: Life,
     since: Duration,
-    /// Whether other daemons were asked to keep the departure.
-    entrusted: bool,
+    /// Whether other daemons were asked to hold a copy of the departure.
+    copied: bool,
     reply_to: oneshot::Sender<()>,
 }
 
@@ -104,7 +104,7 @@
             }
             Event::Tick => {
                 self.calls.tick();
-                self.entrust();
+                self.copy_departures();
             }
             Event::Round => self.round(),
             Event::Stop => self.stop(),
@@ -147,8 +147,8 @@
             daemon::Event::Replied(host, id, replied) => self.calls.replied(host, id, replied),
             daemon::Event::Lost(host, id, sent) => self.calls.lost(host, id, sent),
             daemon::Event::Reachable(host) => self.calls.reachable(host),
-            daemon::Event::Kept(host, objects) => {
-                for life in self.fleet.kept(&host, &objects) {
+            daemon::Event::Copied(host, objects) => {
+                for life in self.fleet.copied(&host, &objects) {
                     self.departure_kept(life);
                 }
             }
@@ -223,19 +223,19 @@
         self.leaving.push(Leaving {
             life,
             since: self.calls.now(),
-            entrusted: false,
+            copied: false,
             reply_to,
         });
     }
 
-    /// Entrusts departures to other daemons that the platform does not take.
-    fn entrust(&mut self) {
+    /// Copies departures to other daemons that the platform does not take.
+    fn copy_departures(&mut self) {
         let now = self.calls.now();
         let mut effects = Vec::new();
         for leaving in &mut self.leaving {
-            if !leaving.entrusted && now >= leaving.since + PLATFORM_PATIENCE {
-                leaving.entrusted = true;
-                effects.extend(self.fleet.entrust(&leaving.life));
+            if !leaving.copied && now >= leaving.since + PLATFORM_PATIENCE {
+                leaving.copied = true;
+                effects.extend(self.fleet.copy_departure(&leaving.life));
             }
         }
         // A target that asked again has a request of its own.
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -53,7 +53,7 @@
 /// What the target's client tells its embedder.
 #[derive(Debug)]
 pub enum Event {
-    /// A target spoke; the word is acknowledged once it has been kept.
+    /// What a target said of itself; acknowledged once a restart does not lose it.
     Heard(Box<Heard>, oneshot::Sender<()>),
     /// A target reported its load.
     Reported(gate::Report),
