A daemon that stops takes no caller whom it can not serve to the end

It closes its listeners for callers 3 s after the stop, or after half of the time for it; requests that are under way end as before. The bound is 0.9 s before the stop is enforced (1 s): at 1 s it fell on the edge of the last sixth of the grace time.

--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -19,7 +19,7 @@
 /// A target is believed for three periods after an announcement.
 const DEFAULT_ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
 /// Part of the time until a stop is enforced that is left for the last answers.
-const GRACE_MARGIN: Duration = Duration::from_secs(1);
+const GRACE_MARGIN: Duration = Duration::from_millis(900);
 const STOP_TIMEOUT_MAX_MS: u64 = 3_600_000;
 
 /// Settings after checking.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,7 +10,7 @@
 use pollenrouter_daemon::message as daemon;
 use pollenrouter_platform::object::MemberState;
 use pollenrouter_target::message as target;
-use tokio::sync::{mpsc as ring, oneshot};
+use tokio::sync::{mpsc as ring, oneshot, watch};
 
 use crate::calls::{Calls, Routed};
 use crate::event::Event;
@@ -21,6 +21,10 @@
 /// A departure that the platform has not taken by then is copied to other
 /// daemons; a target waits one second for an acknowledgement.
 const PLATFORM_PATIENCE: Duration = Duration::from_millis(250);
+/// Longest time for which a daemon that stops takes callers: they are told within two
+/// seconds to go elsewhere. At most half of the time for the stop, so that the other
+/// half is left for what was taken.
+const LISTEN_AFTER_STOP: Duration = Duration::from_secs(3);
 /// Least time between the news that this daemon leaves and its end.
 const LINGER: Duration = Duration::from_millis(1500);
 
@@ -33,6 +37,8 @@
     target: ring::Sender<target::Command>,
     probes: bucket::Bucket,
     stop_timeout: Duration,
+    /// Closes the listeners for callers.
+    closing: watch::Sender<bool>,
     stopping_since: Option<Duration>,
     /// Whether a target's life is known to the platform to have left.
     departed: BTreeSet<Life>,
@@ -57,6 +63,7 @@
         daemons: ring::Sender<daemon::Command>,
         target: ring::Sender<target::Command>,
         stop_timeout: Duration,
+        closing: watch::Sender<bool>,
     ) -> Self {
         Self {
             fleet,
@@ -66,6 +73,7 @@
             target,
             probes: bucket::Bucket::default(),
             stop_timeout,
+            closing,
             stopping_since: None,
             departed: BTreeSet::new(),
             leaving: Vec::new(),
@@ -105,6 +113,7 @@
             Event::Tick => {
                 self.calls.tick();
                 self.copy_departures();
+                self.close_to_callers();
             }
             Event::Round => self.round(),
             Event::Stop => self.stop(),
@@ -354,6 +363,18 @@
         self.update_state();
     }
 
+    /// Takes no further callers once a planned stop has gone on for long enough.
+    fn close_to_callers(&self) {
+        let Some(since) = self.stopping_since else {
+            return;
+        };
+        let waited = self.calls.now().saturating_sub(since);
+        let is_due = waited >= LISTEN_AFTER_STOP.min(self.stop_timeout / 2);
+        if is_due && !self.closing.send_replace(true) {
+            info!("planned stop: no further callers");
+        }
+    }
+
     fn is_done(&self) -> bool {
         let Some(since) = self.stopping_since else {
             return false;
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -65,6 +65,8 @@
     known: SharedKnown,
     metrics: prometheus::Registry,
     router: Router,
+    /// Turns true when callers are no longer taken.
+    closing: watch::Receiver<bool>,
     tx: event::Sender,
     rx: ring::Receiver<Event>,
 }
@@ -127,7 +129,15 @@
     let calls = Calls::new(own_calls, incarnation, rings, instruments);
     let (convention, announcements) = (profile.convention, profile.announcements);
     let fleet = Fleet::new(own, profile, shared);
-    let router = Router::new(fleet, calls, daemons, to_target, settings.stop_timeout);
+    let (close, closing) = watch::channel(false);
+    let router = Router::new(
+        fleet,
+        calls,
+        daemons,
+        to_target,
+        settings.stop_timeout,
+        close,
+    );
 
     let work = Work {
         sockets,
@@ -143,6 +153,7 @@
         known,
         metrics,
         router,
+        closing,
         tx: tx.clone(),
         rx,
     };
@@ -233,6 +244,7 @@
         known,
         metrics,
         router,
+        closing,
         tx,
         rx,
     } = work;
@@ -274,7 +286,7 @@
     let serving: Vec<_> = listeners
         .zip(audiences)
         .map(|(listener, audience)| {
-            let serving = callers::serve(listener, audience, cx.clone(), stopping.clone());
+            let serving = callers::serve(listener, audience, cx.clone(), closing.clone());
             task::spawn_local(serving)
         })
         .collect();
