A departure covers earlier lives of its target

Cause: a daemon that has just restarted and has heard nothing of its target yet took a departure, which states no start on the users' platform, for a life of its own (start 0); the next announcement of the same target named its start and was believed. Ruled out: late beats (sequence) and a lost copy; the log shows the departure noted with start 0 and the announcement 2.1 s later.

--- a/crates/core/src/gate/target.rs
+++ b/crates/core/src/gate/target.rs
@@ -1,6 +1,5 @@
 //! The target of a gate: which life of it speaks, and which lives have left.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -23,6 +22,28 @@
     pub born: u64,
 }
 
+impl Life {
+    /// Whether the end of this life says that `other` has ended as well: a target has
+    /// one life at a time, so earlier ones under its name are over.
+    #[must_use]
+    pub fn covers(&self, other: &Self) -> bool {
+        self.name == other.name && other.born <= self.born
+    }
+}
+
+/// Adds a departed life in place of those that it covers; the oldest of more than `max`
+/// are let go. Tells whether it was not covered before.
+pub fn note_departed(departed: &mut Vec<Life>, life: Life, max: usize) -> bool {
+    if departed.iter().any(|known| known.covers(&life)) {
+        return false;
+    }
+    departed.retain(|known| !life.covers(known));
+    departed.push(life);
+    let excess = departed.len().saturating_sub(max);
+    departed.drain(..excess);
+    true
+}
+
 /// A target that announced itself.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Target {
@@ -35,7 +56,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Targets {
     current: Option<Target>,
-    departed: VecDeque<Life>,
+    departed: Vec<Life>,
     report: Option<(Report, Duration)>,
 }
 
@@ -45,7 +66,7 @@
     }
 
     pub(super) fn has_departed(&self, life: &Life) -> bool {
-        self.departed.contains(life)
+        self.departed.iter().any(|departed| departed.covers(life))
     }
 
     /// Takes in an announcement unless it is older than what is known.
@@ -87,16 +108,11 @@
     /// A life has left; nothing that it announces later brings it back.
     pub(super) fn departed(&mut self, life: Life) {
         if let Some(target) = &mut self.current
-            && target.announcement.life == life
+            && life.covers(&target.announcement.life)
         {
             target.announcement.draining = true;
         }
-        if !self.has_departed(&life) {
-            self.departed.push_back(life);
-        }
-        if self.departed.len() > DEPARTED_MAX {
-            self.departed.pop_front();
-        }
+        note_departed(&mut self.departed, life, DEPARTED_MAX);
     }
 
     pub(super) fn reported(&mut self, now: Duration, report: Report) {
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -75,6 +75,11 @@
     inputs: || vec![Input::Departed(life("i-1", 1)), beat("i-1", 2, 1, false)],
     serves: true,
 };
+/// The departure did not name its start; the router bounded it from above.
+const BEAT_OF_A_LIFE_BEFORE_THE_DEPARTURE: Case = Case {
+    inputs: || vec![Input::Departed(life("i-1", 5)), beat("i-1", 3, 9, false)],
+    serves: false,
+};
 const NEXT_TARGET_ON_THE_HOST: Case = Case {
     inputs: || vec![beat("i-1", 1, 2, true), beat("i-2", 2, 1, false)],
     serves: true,
@@ -99,6 +104,7 @@
 #[case::gone_without_draining(GONE_WITHOUT_DRAINING)]
 #[case::beat_after_restart(BEAT_AFTER_RESTART)]
 #[case::next_life_under_the_same_name(NEXT_LIFE_UNDER_THE_SAME_NAME)]
+#[case::beat_of_a_life_before_the_departure(BEAT_OF_A_LIFE_BEFORE_THE_DEPARTURE)]
 #[case::next_target_on_the_host(NEXT_TARGET_ON_THE_HOST)]
 #[case::late_beat_of_a_dead_target(LATE_BEAT_OF_A_DEAD_TARGET)]
 fn what_was_said_of_leaving_holds(#[case] case: Case) {
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -18,6 +18,8 @@
 /// Keys of departures that only daemons hold, while the platform is out, begin with
 /// this; a host and the name of a target follow.
 pub const DEPARTURES: &str = "departures/";
+/// Departed lives that a member's object remembers; a host has one target at a time.
+pub const DEPARTED_MAX: usize = 16;
 /// Changes that an object remembers.
 const CHANGES_MAX: usize = 100;
 
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -1,7 +1,7 @@
 //! Departures of targets on this host: what of them outlasts this daemon.
 
 use log::warn;
-use pollenrouter_core::gate::target::Life;
+use pollenrouter_core::gate::target::{self, Life};
 use pollenrouter_core::{id, membership, replica};
 use pollenrouter_daemon::message::Command;
 use pollenrouter_platform::object::{self, Member, MemberState};
@@ -12,19 +12,13 @@
 const COPIES_ASKED: usize = 4;
 /// Daemons that must hold a departure before it is acknowledged: one may be lost.
 const COPIES_MIN: usize = 2;
-/// Departed lives that a member's object holds.
-const DEPARTED_MAX: usize = 16;
 
 impl Fleet {
     /// The life of a target on this host leaves; its object at the platform will say so.
     pub fn depart(&mut self, life: Life) {
-        if self.own.departed.contains(&life) {
-            return;
+        if target::note_departed(&mut self.own.departed, life, object::DEPARTED_MAX) {
+            self.register();
         }
-        self.own.departed.push(life);
-        let excess = self.own.departed.len().saturating_sub(DEPARTED_MAX);
-        self.own.departed.drain(..excess);
-        self.register();
     }
 
     /// Has other daemons hold a copy of a departure that the platform has not taken.
@@ -89,9 +83,7 @@
     /// This daemon's own object stands at the platform.
     pub(super) fn registered(&mut self, member: &Member, effects: &mut Vec<Effect>) {
         for life in &member.departed {
-            if !self.own.departed.contains(life) {
-                self.own.departed.push(life.clone());
-            }
+            target::note_departed(&mut self.own.departed, life.clone(), object::DEPARTED_MAX);
             effects.push(Effect::Departed(life.clone()));
         }
         effects.push(Effect::Synced);
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::{info, warn};
+use pollenrouter_core::gate::target;
 use pollenrouter_core::{id, replica};
 use pollenrouter_platform::client::{Client, PlatformError};
 use pollenrouter_platform::object::{self, Change, Member, MemberState, Rejections};
@@ -167,9 +168,9 @@
     let mut member = member.clone();
     if let Some(held) = held.as_ref().and_then(parse) {
         member.changes = held.changes;
-        let known = std::mem::take(&mut member.departed);
-        let new = known.iter().filter(|life| !held.departed.contains(life));
-        member.departed = held.departed.iter().chain(new).cloned().collect();
+        for life in std::mem::replace(&mut member.departed, held.departed) {
+            target::note_departed(&mut member.departed, life, object::DEPARTED_MAX);
+        }
     }
     put(client, &key, member, version, author)
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,7 +1,7 @@
 //! The router: takes events in order and decides.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::info;
 use pollenrouter_caller::message as caller;
@@ -210,12 +210,21 @@
         }
     }
 
-    /// The life that a target means which does not say when it started.
+    /// The life that a target means which does not say when it started. Of a target
+    /// that was not heard of yet, every life up to now has left.
     fn full_life(&self, life: Life) -> Life {
-        match self.calls.gate().life() {
-            Some(current) if life.born == 0 && current.name == life.name => current.clone(),
-            _ => life,
+        if life.born != 0 {
+            return life;
         }
+        let leaving = self.leaving.iter().map(|leaving| &leaving.life);
+        let mut known = self.calls.gate().life().into_iter().chain(leaving);
+        known
+            .find(|known| known.name == life.name)
+            .cloned()
+            .unwrap_or_else(|| Life {
+                born: unix_millis(),
+                ..life
+            })
     }
 
     /// A target leaves: nothing more goes to it, and that is acknowledged once a
@@ -223,7 +232,7 @@
     fn departs(&mut self, life: Life, reply_to: oneshot::Sender<()>) {
         self.calls.departed(life.clone());
         self.update_state();
-        if self.departed.contains(&life) {
+        if self.departed.iter().any(|known| known.covers(&life)) {
             acknowledge(reply_to);
             return;
         }
@@ -257,7 +266,7 @@
         self.calls.departed(life.clone());
         let (kept, waiting) = std::mem::take(&mut self.leaving)
             .into_iter()
-            .partition(|leaving| leaving.life == life);
+            .partition(|leaving| life.covers(&leaving.life));
         self.leaving = waiting;
         let kept: Vec<Leaving> = kept;
         for leaving in kept {
@@ -384,6 +393,13 @@
     }
 }
 
+/// Time of day, milliseconds since 1970, as targets state their starts.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 /// Tells a target that its word was taken; it may have given up on that.
 fn acknowledge(reply_to: oneshot::Sender<()>) {
     let _ = reply_to.send(());
