Gates ask before a start how fast their target is, and wait out its slow moments

Ruled out: queueing (the time does not depend on the calls that run), and the load told with the answer (95 against 83 ms). Reports were 40 ms old and more and did not hold a start back. Now: before a start the gate asks for the load unless a report is at most 20 ms old. While the target is slow the call goes to another gate of its failure domain, waits here as long as it can be in time, leaves the domain, and is started all the same if all are slow.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -10,6 +10,20 @@
 /// Deepest chain of calls that the system distinguishes.
 pub const MAX_DEPTH: u8 = 7;
 
+/// What a gate does with a call that finds its target slow for the moment.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub enum WhenSlow {
+    /// It refuses the call, which goes to another gate.
+    Refuse,
+    /// It waits for the target to recover while the call can still be in time.
+    Wait,
+    /// It starts the call all the same.
+    #[default]
+    Start,
+}
+
 /// A call that an entry asks a gate to run.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Offer {
@@ -31,6 +45,8 @@
     pub objective: Duration,
     /// Whether it gives way when it can not meet that.
     pub gives_way: bool,
+    /// What the gate does while its target is slow for the moment.
+    pub when_slow: WhenSlow,
     /// Whether the call may run at most once.
     pub once: bool,
     /// Digest of method, path and body; a ticket stays with one request.
@@ -74,6 +90,8 @@
         QueueFull { display("the queue is full") }
         /// The wait would outlast the deadline.
         Late { display("the deadline can not be met") }
+        /// The target is slow for the moment.
+        Slow { display("the target is slow for the moment") }
         /// The target refused the call before it began.
         Shed { display("the target shed the call") }
         /// The target accepts no connection.
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod end;
 mod intake;
+mod slow;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -158,6 +159,8 @@
     objective: Duration,
     attempt: Option<Attempt>,
     tried: Vec<id::HostName>,
+    /// Gates whose targets were slow for the moment.
+    slow: slow::Slow,
     /// Targets that the call was sent to, as far as is known.
     arrivals: u32,
     maybe_ran: bool,
@@ -222,7 +225,15 @@
 
     /// Issues a ticket for a service without a call.
     pub fn issue(&mut self, now: Duration, service: &str, draw: u64) -> Option<id::Ticket> {
-        let member = self.pick(now, service, draw, &[])?;
+        let search = gates::Search {
+            service,
+            failure_domain: &self.failure_domain,
+            near_only: false,
+            tried: &[],
+            patience: Duration::MAX,
+            draw,
+        };
+        let member = self.gates.pick(now, &search)?;
         let (host, incarnation) = (member.host.clone(), member.incarnation);
         Some(id::Ticket {
             service: service.into(),
@@ -278,23 +289,6 @@
         }
     }
 
-    fn pick(
-        &self,
-        now: Duration,
-        service: &str,
-        draw: u64,
-        tried: &[id::HostName],
-    ) -> Option<&Member> {
-        self.gates.pick(
-            now,
-            service,
-            &self.failure_domain,
-            draw,
-            tried,
-            Duration::MAX,
-        )
-    }
-
     fn tokens(&self, id: id::CallId) -> Vec<Token> {
         self.by_id.get(&id).cloned().unwrap_or_default()
     }
--- a/crates/core/src/entry/again.rs
+++ b/crates/core/src/entry/again.rs
@@ -7,9 +7,6 @@
 use crate::call::{Doubt, Refusal};
 use crate::id;
 
-/// Gates that one call is offered to; each offer to another host takes a round trip.
-const GATES_MAX: usize = 4;
-
 impl Entry {
     pub(super) fn not_run(
         &mut self,
@@ -22,6 +19,9 @@
             .pending
             .get(&token)
             .is_some_and(|p| p.request.ticket.is_some());
+        if refusal == Refusal::Slow {
+            self.note_slow(token);
+        }
         let reached_target = refusal == Refusal::Shed;
         if reached_target {
             self.arrived(token);
@@ -88,26 +88,14 @@
             return false;
         };
         let attempts = pending.request.attempts.max(1);
-        if now >= pending.deadline
-            || pending.arrivals >= attempts
-            || pending.tried.len() >= GATES_MAX
-        {
+        if now >= pending.deadline || pending.arrivals >= attempts {
             return false;
         }
-        let service = &pending.request.service;
-        let patience = pending.patience(now);
-        let Some(budget) = self.budgets.get_mut(service) else {
+        let is_open = self.next_place(now, pending).is_some();
+        let Some(budget) = self.budgets.get_mut(&pending.request.service) else {
             return false;
         };
-        let open = self.gates.pick(
-            now,
-            service,
-            &self.failure_domain,
-            0,
-            &pending.tried,
-            patience,
-        );
-        open.is_some() && (!reached_target || budget.take())
+        is_open && (!reached_target || budget.take())
     }
 
     pub(super) fn lost(
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::slow::Place;
 use super::{Attempt, Entry, Output, Pending, Token};
 use crate::call::{self, Refusal};
 use crate::id;
@@ -36,44 +37,30 @@
         };
         let request = pending.request.clone();
         let place = match &request.ticket {
-            Some(ticket) => Some((ticket.host.clone(), ticket.incarnation, ticket.id)),
-            None => self.place(now, token),
+            Some(ticket) => Some((Place::of_ticket(ticket), ticket.id)),
+            None => self
+                .next_place(now, pending)
+                .map(|place| (place, self.next_id(request.draw))),
         };
         match place {
-            Some((host, incarnation, id)) => self.offer(now, token, host, incarnation, id, out),
+            Some((place, id)) => self.offer(now, token, place, id, out),
             None => self.conclude(token, Err(otherwise), out),
         }
     }
 
-    fn place(
-        &mut self,
-        now: Duration,
-        token: Token,
-    ) -> Option<(id::HostName, id::Incarnation, id::CallId)> {
-        let pending = self.pending.get(&token)?;
-        let draw = pending.request.draw;
-        let member = self.gates.pick(
-            now,
-            &pending.request.service,
-            &self.failure_domain,
-            draw,
-            &pending.tried,
-            pending.patience(now),
-        )?;
-        let (host, incarnation) = (member.host.clone(), member.incarnation);
-        let id = self.next_id(draw);
-        Some((host, incarnation, id))
-    }
-
     fn offer(
         &mut self,
         now: Duration,
         token: Token,
-        host: id::HostName,
-        incarnation: id::Incarnation,
+        place: Place,
         id: id::CallId,
         out: &mut Vec<Output>,
     ) {
+        let Place {
+            host,
+            incarnation,
+            when_slow,
+        } = place;
         let Some(pending) = self.pending.get_mut(&token) else {
             return;
         };
@@ -88,11 +75,15 @@
             remaining: pending.deadline.saturating_sub(now),
             objective: pending.objective.saturating_sub(now),
             gives_way: request.gives_way,
+            when_slow,
             once: request.once,
             fingerprint: request.fingerprint,
             vouched: request.ticket.is_none(),
         };
-        pending.tried.push(host.clone());
+        pending.slow.offered(when_slow);
+        if !pending.tried.contains(&host) {
+            pending.tried.push(host.clone());
+        }
         pending.attempt = Some(Attempt {
             host: host.clone(),
             about: call::Query {
--- a/crates/core/src/entry/intake.rs
+++ b/crates/core/src/entry/intake.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Entry, Output, Pending, Request, Token};
+use super::{Entry, Output, Pending, Request, Token, slow};
 use crate::bucket;
 use crate::call::Refusal;
 
@@ -16,6 +16,7 @@
             request,
             attempt: None,
             tried: Vec::new(),
+            slow: slow::Slow::default(),
             arrivals: 0,
             maybe_ran: false,
             failure: None,
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod answers;
+mod pace;
 mod questions;
 pub mod target;
 
@@ -14,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::call::{self, Doubt, Refusal, Reply};
+use crate::call::{self, Doubt, Refusal, Reply, WhenSlow};
 use crate::hint;
 use crate::id;
 use crate::queue;
@@ -89,6 +90,8 @@
     Departed(target::Life),
     /// The target reported its load.
     Reported(Report),
+    /// The target did not report its load when it was asked; it does not.
+    Unreported,
     /// Announcements are believed from now on: departures before this daemon's
     /// start are known.
     Synced,
@@ -110,6 +113,8 @@
         /// When it must be answered.
         deadline: Duration,
     },
+    /// Ask the target for its load.
+    Ask,
     /// Tell the target that the answer is no longer wanted.
     Cancel(id::CallId),
     /// Reply to everybody who waits for this id.
@@ -128,6 +133,8 @@
     once: bool,
     long: bool,
     started: Duration,
+    /// Time that its work takes, hundredths of the usual.
+    slowness: u32,
 }
 
 /// State of one gate.
@@ -136,6 +143,7 @@
     incarnation: id::Incarnation,
     document: Option<service::Service>,
     targets: target::Targets,
+    pace: pace::Pace,
     announcement_ttl: Duration,
     synced: bool,
     draining: bool,
@@ -156,6 +164,7 @@
             incarnation,
             document: None,
             targets: target::Targets::default(),
+            pace: pace::Pace::default(),
             announcement_ttl: ANNOUNCEMENT_TTL,
             synced: true,
             draining: false,
@@ -176,6 +185,13 @@
         self
     }
 
+    /// Asks the target for its load before a start, where the latest report is old.
+    #[must_use]
+    pub fn asking(mut self) -> Self {
+        self.pace = pace::Pace::asking();
+        self
+    }
+
     /// Starts nothing before [`Input::Synced`].
     #[must_use]
     pub fn unsynced(mut self) -> Self {
@@ -193,14 +209,18 @@
             Input::Finished(id, outcome) => self.finished(now, id, outcome, &mut out),
             Input::Announced(announcement) => self.targets.announced(now, announcement),
             Input::Departed(life) => self.targets.departed(life),
-            Input::Reported(report) => self.targets.reported(now, report),
+            Input::Reported(report) => self.pace.reported(now, report),
+            Input::Unreported => self.pace.silent(now),
             Input::Synced => self.synced = true,
             Input::Document(document) => self.document = Some(document),
             Input::Drain => self.draining = true,
             Input::Tick => self.expire_answers(now, &mut out),
         }
         self.refuse_waiting(now, &mut out);
-        self.start_waiting(now, &mut out);
+        if let Some(speed) = self.speed(now, &mut out) {
+            self.refuse_slowed(now, speed, &mut out);
+            self.start_waiting(now, speed, &mut out);
+        }
         self.trim(&mut out);
         out
     }
@@ -262,7 +282,7 @@
             waiting: count(self.waiting.len()),
             slots: self.open_slots(now),
             mean: self.times.overall(),
-            slowness: self.targets.slowness(now),
+            slowness: self.pace.slowness(now),
             failing: count(failed) * 2 > OUTCOMES,
             leaving: self.refusal_now(now) == Some(Refusal::Draining),
             closed: self.refusal_now(now).is_some(),
@@ -290,8 +310,9 @@
         };
         match outcome {
             Outcome::Answered { bytes, failed } => {
+                let took = now.saturating_sub(running.started);
                 self.times
-                    .record(&running.route, now.saturating_sub(running.started));
+                    .record(&running.route, took * pace::USUAL / running.slowness);
                 self.note_outcome(failed);
                 let reply = if failed {
                     Reply::Failure
@@ -332,8 +353,45 @@
         }
     }
 
-    fn start_waiting(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while let Some(at) = queue::next(&self.waiting, self.slots(now), now) {
+    /// The speed that a call would find that starts now; none while nothing can
+    /// start, or while the target is asked for it.
+    fn speed(&mut self, now: Duration, out: &mut Vec<Output>) -> Option<pace::Speed> {
+        let slots = self.slots(now);
+        queue::next(&self.waiting, slots, now, |_| true)?;
+        let (speed, ask) = self.pace.speed(now);
+        if ask {
+            out.push(Output::Ask);
+        }
+        speed
+    }
+
+    /// Refuses calls that would rather go to another gate than wait, or that have
+    /// waited for the target to recover for as long as they can.
+    fn refuse_slowed(&mut self, now: Duration, speed: pace::Speed, out: &mut Vec<Output>) {
+        if !speed.is_slow() {
+            return;
+        }
+        let goes = |w: &queue::Waiting| match w.when_slow {
+            WhenSlow::Refuse => true,
+            WhenSlow::Wait => {
+                !speed.is_fine_for(w.mean) && (speed.is_lasting || now >= w.hold_until)
+            }
+            WhenSlow::Start => false,
+        };
+        let (refused, staying) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(goes);
+        self.waiting = staying;
+        let refused: Vec<queue::Waiting> = refused;
+        for w in refused {
+            self.refuse(w.id, Refusal::Slow, None, out);
+        }
+    }
+
+    fn start_waiting(&mut self, now: Duration, speed: pace::Speed, out: &mut Vec<Output>) {
+        let may_start =
+            |w: &queue::Waiting| w.when_slow == WhenSlow::Start || speed.is_fine_for(w.mean);
+        while let Some(at) = queue::next(&self.waiting, self.slots(now), now, may_start) {
             let w = self.waiting.remove(at);
             self.records.set(w.id, State::Running, None);
             out.push(Output::Start {
@@ -345,6 +403,7 @@
                 once: w.once,
                 long: w.long,
                 started: now,
+                slowness: speed.slowness.max(1),
             };
             self.running.insert(w.id, running);
         }
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -83,6 +83,8 @@
             deadline: now + offer.remaining,
             is_late,
             start_by: now + patience.max(START_MIN),
+            when_slow: offer.when_slow,
+            hold_until: now + hold(offer, mean),
             mean,
         })
     }
@@ -131,6 +133,17 @@
     }
 }
 
+/// Time for which a call may wait for its target to recover: as long as an answer can
+/// still be in time by way of another gate.
+fn hold(offer: &call::Offer, mean: Duration) -> Duration {
+    let in_time = offer.objective.saturating_sub(mean * 3 / 2);
+    if in_time.is_zero() {
+        LATE_PATIENCE.min(offer.remaining.saturating_sub(mean))
+    } else {
+        in_time
+    }
+}
+
 /// Time that a call may wait for a start, and whether it exceeds the latency owed even
 /// if it starts at once.
 fn patience(offer: &call::Offer, mean: Duration) -> (Duration, bool) {
--- a/crates/core/src/gate/target.rs
+++ b/crates/core/src/gate/target.rs
@@ -4,13 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Announcement, Report};
+use super::Announcement;
 use crate::id;
 
 /// Departed lives that are remembered; a host has one target at a time.
 const DEPARTED_MAX: usize = 64;
-/// A report of the momentary speed counts for this long.
-const REPORT_TTL: Duration = Duration::from_millis(150);
 
 /// One life of one target: a target may start again under the name that it had.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -57,7 +55,6 @@
 pub(super) struct Targets {
     current: Option<Target>,
     departed: Vec<Life>,
-    report: Option<(Report, Duration)>,
 }
 
 impl Targets {
@@ -114,16 +111,4 @@
         }
         note_departed(&mut self.departed, life, DEPARTED_MAX);
     }
-
-    pub(super) fn reported(&mut self, now: Duration, report: Report) {
-        self.report = Some((report, now));
-    }
-
-    /// Slowness of this moment; 0 when it is not known.
-    pub(super) fn slowness(&self, now: Duration) -> u32 {
-        match self.report {
-            Some((report, at)) if now <= at + REPORT_TTL => report.slowness,
-            _ => 0,
-        }
-    }
 }
--- a/crates/core/src/gates.rs
+++ b/crates/core/src/gates.rs
@@ -38,6 +38,23 @@
     }
 }
 
+/// Which gate is looked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Search<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// The entry's failure domain.
+    pub failure_domain: &'a str,
+    /// Whether only gates of that failure domain count.
+    pub near_only: bool,
+    /// Gates that are left out.
+    pub tried: &'a [id::HostName],
+    /// A gate at which a call is expected to wait for longer is left out.
+    pub patience: Duration,
+    /// Random draw.
+    pub draw: u64,
+}
+
 /// All gates that an entry knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Gates(BTreeMap<id::HostName, Gate>);
@@ -78,25 +95,18 @@
         self.0.is_empty()
     }
 
-    /// Picks a gate of a service that serves and was not tried; one that can not
-    /// be reached only if there is no other. One at which a call is expected to
-    /// wait longer than `patience` is left out.
+    /// Picks a gate of a service that serves; one that can not be reached only if
+    /// there is no other.
     #[must_use]
-    pub fn pick(
-        &self,
-        now: Duration,
-        service: &str,
-        failure_domain: &str,
-        draw: u64,
-        tried: &[id::HostName],
-        patience: Duration,
-    ) -> Option<&Member> {
+    pub fn pick(&self, now: Duration, search: &Search) -> Option<&Member> {
+        let failure_domain = search.failure_domain;
         let open = |gate: &&Gate| {
-            gate.member.service == service
+            gate.member.service == search.service
                 && gate.member.serving
-                && !tried.contains(&gate.member.host)
+                && !search.tried.contains(&gate.member.host)
+                && (!search.near_only || gate.member.failure_domain == failure_domain)
                 && !gate.load.is_closed(now)
-                && gate.may_take(now, patience, failure_domain)
+                && gate.may_take(now, search.patience, failure_domain)
         };
         let all: Vec<&Gate> = self.0.values().filter(open).collect();
         let trusted: Vec<&Gate> = all
@@ -112,7 +122,14 @@
                 is_near: gate.member.failure_domain == failure_domain,
             })
             .collect();
-        choice::pick(&options, draw, now).map(|at| &among[at].member)
+        choice::pick(&options, search.draw, now).map(|at| &among[at].member)
+    }
+
+    /// A gate that was picked before, while it still serves.
+    #[must_use]
+    pub fn serving(&self, now: Duration, host: &str) -> Option<&Member> {
+        let gate = self.0.get(host)?;
+        (gate.member.serving && !gate.load.is_closed(now)).then_some(&gate.member)
     }
 
     /// A call was offered to a gate.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::call::WhenSlow;
 use crate::id;
 
 /// A call that waits for a slot.
@@ -25,6 +26,10 @@
     pub is_late: bool,
     /// When it is given up unless it has started.
     pub start_by: Duration,
+    /// What it does while the target is slow for the moment.
+    pub when_slow: WhenSlow,
+    /// Until when it waits for such a target to recover.
+    pub hold_until: Duration,
     /// Expected service time.
     pub mean: Duration,
 }
@@ -76,13 +81,18 @@
 
 /// Position of the call to start next: internal before public, then by
 /// rank, what can still be in time before what can not, short before long, then by
-/// the latest useful start.
+/// the latest useful start. Calls that `may_start` rejects are left out.
 #[must_use]
-pub fn next(waiting: &[Waiting], slots: Slots, now: Duration) -> Option<usize> {
+pub fn next(
+    waiting: &[Waiting],
+    slots: Slots,
+    now: Duration,
+    may_start: impl Fn(&Waiting) -> bool,
+) -> Option<usize> {
     waiting
         .iter()
         .enumerate()
-        .filter(|(_, w)| slots.admits(w.depth, w.long))
+        .filter(|(_, w)| slots.admits(w.depth, w.long) && may_start(w))
         .min_by_key(|(_, w)| w.order(now))
         .map(|(at, _)| at)
 }
--- a/crates/core/tests/gates.rs
+++ b/crates/core/tests/gates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pollenrouter_core::entry::Member;
-use pollenrouter_core::gates::Gates;
+use pollenrouter_core::gates::{Gates, Search};
 use pollenrouter_core::hint::Hint;
 use rstest::rstest;
 
@@ -75,10 +75,21 @@
     let said_at = Duration::from_secs(1);
     gates.note(said_at, &HOST.into(), case.hint);
     let now = said_at + case.after;
-    let picked = gates.pick(now, SERVICE, "", 0, &[], Duration::MAX);
+    let picked = gates.pick(now, &search("", Duration::MAX));
     assert_eq!(picked.is_some(), case.picked);
 }
 
+fn search(failure_domain: &str, patience: Duration) -> Search<'_> {
+    Search {
+        service: SERVICE,
+        failure_domain,
+        near_only: false,
+        tried: &[],
+        patience,
+        draw: 0,
+    }
+}
+
 struct FarCase {
     hint: Hint,
     picked: bool,
@@ -99,7 +110,7 @@
     }]);
     let now = Duration::from_secs(1);
     gates.note(now, &HOST.into(), case.hint);
-    let picked = gates.pick(now, SERVICE, "graz-nord", 0, &[], PATIENCE);
+    let picked = gates.pick(now, &search("graz-nord", PATIENCE));
     assert_eq!(picked.is_some(), case.picked);
 }
 
--- a/crates/core/tests/model/world.rs
+++ b/crates/core/tests/model/world.rs
@@ -301,7 +301,10 @@
                     self.network.insert(Message::Reply(to, at, id, reply));
                 }
             }
-            gate::Output::Cancel(_) | gate::Output::Keep(_) | gate::Output::Forget(_) => {}
+            gate::Output::Ask
+            | gate::Output::Cancel(_)
+            | gate::Output::Keep(_)
+            | gate::Output::Forget(_) => {}
         }
     }
 
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use pollenrouter_core::call::{Offer, Reply};
+use pollenrouter_core::call::{Offer, Reply, WhenSlow};
 use pollenrouter_core::gate::{Announcement, Gate, Input, Outcome, Output};
 use pollenrouter_core::id::CallId;
 use pollenrouter_core::service::{Limits, Measuring, Service};
@@ -158,6 +158,7 @@
         remaining: DEADLINE,
         objective: OBJECTIVE,
         gives_way,
+        when_slow: WhenSlow::Start,
         once: false,
         fingerprint: seq,
         vouched: true,
--- a/crates/core/tests/scenarios/engine/outputs.rs
+++ b/crates/core/tests/scenarios/engine/outputs.rs
@@ -57,7 +57,7 @@
             gate::Output::Cancel(id) => {
                 self.say(&format!("{at} cancels call {}", self.press_of_id[&id]));
             }
-            gate::Output::Keep(_) | gate::Output::Forget(_) => {}
+            gate::Output::Ask | gate::Output::Keep(_) | gate::Output::Forget(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/slow.rs
@@ -0,0 +1,77 @@
+//! Where an entry offers a call whose gates refuse it, because their targets are slow
+//! for the moment.
+
+use std::time::Duration;
+
+use pollenrouter_core::call::{Refusal, Reply, WhenSlow};
+use pollenrouter_core::entry::{Entry, Input, Member, Output, Request, Verdict};
+use pollenrouter_core::hint::Hint;
+use rstest::rstest;
+
+const SERVICE: &str = "seats";
+const OWN: &str = "leoben";
+const OTHER: &str = "graz";
+
+/// Gates by failure domain, and the terms of the offers that follow on each other while
+/// every gate says that its target is slow.
+struct Case {
+    domains: &'static [&'static str],
+    offers: &'static [(&'static str, WhenSlow)],
+}
+
+#[rstest]
+#[case::one_near(Case {
+    domains: &[OWN],
+    offers: &[(OWN, WhenSlow::Wait), (OWN, WhenSlow::Start)],
+})]
+#[case::two_near(Case {
+    domains: &[OWN, OWN],
+    offers: &[(OWN, WhenSlow::Refuse), (OWN, WhenSlow::Wait), (OWN, WhenSlow::Start)],
+})]
+#[case::one_near_one_far(Case {
+    domains: &[OWN, OTHER],
+    offers: &[(OWN, WhenSlow::Wait), (OTHER, WhenSlow::Refuse), (OWN, WhenSlow::Start)],
+})]
+#[case::none_near(Case {
+    domains: &[OTHER, OTHER],
+    offers: &[(OTHER, WhenSlow::Refuse), (OTHER, WhenSlow::Wait), (OTHER, WhenSlow::Start)],
+})]
+fn offers_go_from_near_to_far_and_end_with_a_start(#[case] case: Case) {
+    let mut entry = Entry::new(1).within(OWN.into());
+    let members = case.domains.iter().enumerate().map(|(at, domain)| Member {
+        host: format!("{domain}-{at}").into(),
+        incarnation: at as u64 + 10,
+        service: SERVICE.into(),
+        failure_domain: (*domain).into(),
+        serving: true,
+    });
+    let now = Duration::from_secs(1);
+    entry.step(now, Input::Members(members.collect()));
+    let mut out = entry.step(now, Input::Call(request()));
+    for (domain, when_slow) in case.offers {
+        let [Output::Offer(host, _, offer)] = &out[..] else {
+            panic!("no offer: {out:?}");
+        };
+        assert!(host.starts_with(domain), "{host} is not in {domain}");
+        assert_eq!(offer.when_slow, *when_slow, "at {host}");
+        let refused = Reply::NotRun(Refusal::Slow);
+        let input = Input::Reply(host.clone(), offer.id, refused, Hint::default());
+        out = entry.step(now, input);
+    }
+    let refused = Verdict::NotRun(Refusal::Slow);
+    assert_eq!(out, [Output::Done(1, refused, None)]);
+}
+
+fn request() -> Request {
+    Request {
+        token: 1,
+        service: SERVICE.into(),
+        route: "list".into(),
+        remaining: Duration::from_secs(1),
+        objective: Duration::from_millis(200),
+        gives_way: true,
+        attempts: 2,
+        draw: 5,
+        ..Request::default()
+    }
+}
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use pollenrouter_core::call::{Offer, Query, Reply};
+use pollenrouter_core::call::{Offer, Query, Reply, WhenSlow};
 use pollenrouter_core::entry::Sent;
 use pollenrouter_core::exchange::{AnswerHead, RequestHead};
 use pollenrouter_core::hint::Hint;
@@ -151,6 +151,7 @@
         remaining: Duration::from_secs(1),
         objective: Duration::from_secs(1),
         gives_way: true,
+        when_slow: WhenSlow::Start,
         once: true,
         fingerprint: 4,
         vouched: true,
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -85,6 +85,8 @@
     pub announcement_ttl: Duration,
     /// Header in which callers name their requests.
     pub request_id_header: &'static str,
+    /// Whether targets report their load.
+    pub targets_report: bool,
 }
 
 /// A call with what its service allows.
@@ -110,6 +112,11 @@
         let gate = gate::Gate::new(incarnation, gate::RECORDS_MAX)
             .with_announcement_ttl(own.announcement_ttl)
             .unsynced();
+        let gate = if own.targets_report {
+            gate.asking()
+        } else {
+            gate
+        };
         Self {
             host: own.host,
             origin: Instant::now(),
@@ -206,6 +213,11 @@
         self.run(Step::Gate(gate::Input::Reported(report)));
     }
 
+    /// The target was asked for its load and did not tell.
+    pub fn unreported(&mut self) {
+        self.run(Step::Gate(gate::Input::Unreported));
+    }
+
     /// The target is done with a call.
     pub fn finished(
         &mut self,
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -140,6 +140,7 @@
     pub(super) fn gate_output(&mut self, now: Duration, output: &gate::Output) {
         match *output {
             gate::Output::Start { id, deadline } => self.start(id, deadline),
+            gate::Output::Ask => self.ask_load(),
             gate::Output::Cancel(id) => {
                 // A call that is not cancelled only runs to its end.
                 let _ = self.rings.target.try_send(target::Command::Cancel(id));
@@ -158,6 +159,14 @@
         }
     }
 
+    /// Asks the target for its load; a full ring stands for no answer.
+    fn ask_load(&mut self) {
+        let asked = self.rings.target.try_send(target::Command::AskLoad);
+        if asked.is_err() {
+            self.steps.push_back(Step::Gate(gate::Input::Unreported));
+        }
+    }
+
     /// Keeps an answer in a buffer of its own size; the one that it was read into
     /// is much larger.
     fn keep(&mut self, id: id::CallId) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -175,6 +175,7 @@
         match event {
             target::Event::Heard(heard, reply_to) => self.heard(*heard, reply_to),
             target::Event::Reported(report) => self.calls.reported(report),
+            target::Event::Unreported => self.calls.unreported(),
             target::Event::Finished(id, outcome, answer) => {
                 self.calls.finished(id, outcome, answer);
             }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -125,6 +125,7 @@
         failure_domain: settings.failure_domain.clone(),
         announcement_ttl: settings.announce_period * ANNOUNCEMENTS_MISSED,
         request_id_header: profile.convention.request_id,
+        targets_report: profile.convention.load.is_some(),
     };
     let calls = Calls::new(own_calls, incarnation, rings, instruments);
     let (convention, announcements) = (profile.convention, profile.announcements);
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -46,6 +46,8 @@
     Cancel(id::CallId),
     /// Ask the target for its health.
     Probe,
+    /// Ask the target for its load.
+    AskLoad,
     /// Send later calls to this address.
     Use(net::SocketAddr),
 }
@@ -57,6 +59,8 @@
     Heard(Box<Heard>, oneshot::Sender<()>),
     /// A target reported its load.
     Reported(gate::Report),
+    /// A target was asked for its load and did not tell.
+    Unreported,
     /// The target is done with a call.
     Finished(
         id::CallId,
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
 use log::warn;
 use pollenrouter_core::call::Refusal;
@@ -28,6 +29,10 @@
 const HEADER_COST: usize = 64;
 const ROOM_PAUSE: Duration = Duration::from_millis(1);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+const PROBE_BODY_MAX_BYTES: u64 = 4096;
+/// Calls wait for the answer; a target on the same host tells within a few
+/// milliseconds.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(30);
 const CANCEL_PATH: &str = "/.target/cancel/";
 /// A call that may run once goes out on a connection that was in use this lately:
 /// a target may have dropped one that idles, and the call would be lost.
@@ -89,6 +94,7 @@
                 Command::Run(run) => sender.call(run).await,
                 Command::Cancel(id) => sender.cancel(id).await,
                 Command::Probe => sender.probe().await,
+                Command::AskLoad => sender.ask_load().await,
                 Command::Use(_) => {}
             }
         });
@@ -207,16 +213,18 @@
     }
 
     async fn report(&self, head: &exchange::AnswerHead) {
-        let Some((name, read)) = self.convention.load else {
-            return;
-        };
-        let found = head.headers.iter().find(|(n, _)| n == name);
-        let text = found.and_then(|(_, value)| std::str::from_utf8(value).ok());
-        if let Some(slowness) = text.and_then(read) {
+        if let Some(slowness) = self.slowness(&head.headers) {
             self.tell(Event::Reported(gate::Report { slowness })).await;
         }
     }
 
+    /// How long work takes at the moment, as the headers of an answer tell.
+    fn slowness(&self, headers: &[exchange::Header]) -> Option<u32> {
+        let (name, read) = self.convention.load?;
+        let (_, value) = headers.iter().find(|(n, _)| n == name)?;
+        read(std::str::from_utf8(value).ok()?)
+    }
+
     async fn cancel(&self, id: id::CallId) {
         if self.convention.cancels {
             let path = format!("{CANCEL_PATH}{}", call_text(id));
@@ -232,23 +240,43 @@
         self.tell(Event::Probed(healthy, begun.elapsed())).await;
     }
 
+    /// Asks for the load on the path that tells the health.
+    async fn ask_load(&self) {
+        let asked = self.exchange(Method::GET, self.convention.health_path, LOAD_TIMEOUT);
+        let headers = asked.await.map(|parts| head::end_to_end(&parts.headers));
+        let event = headers
+            .and_then(|headers| self.slowness(&headers))
+            .map_or(Event::Unreported, |slowness| {
+                Event::Reported(gate::Report { slowness })
+            });
+        self.tell(event).await;
+    }
+
     async fn ask(&self, method: Method, path: &str) -> bool {
-        let Some(client) = self.client.borrow().clone() else {
-            return false;
-        };
+        let replied = self.exchange(method, path, PROBE_TIMEOUT).await;
+        replied.is_some_and(|parts| parts.status.is_success())
+    }
+
+    /// Sends a request without a body and returns the head of what came back.
+    async fn exchange(&self, method: Method, path: &str, patience: Duration) -> Option<Parts> {
+        let client = self.client.borrow().clone()?;
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header(HOST, client.address().to_string())
             .header(PROBE, "1")
             .body(Full::new(Bytes::new()));
-        let Ok(request) = request else {
-            return false;
-        };
-        match time::timeout(PROBE_TIMEOUT, client.send(request, client::IDLE_MAX)).await {
-            Ok(Ok((response, _))) => response.status().is_success(),
-            _ => false,
+        let sent = time::timeout(patience, client.send(request.ok()?, client::IDLE_MAX)).await;
+        let (response, lent) = sent.ok()?.ok()?;
+        let (parts, body) = response.into_parts();
+        // Only a connection on which nothing is left to read is used again.
+        if body::read(body, PROBE_BODY_MAX_BYTES, patience)
+            .await
+            .is_ok()
+        {
+            lent.give_back();
         }
+        Some(parts)
     }
 
     fn request(
