Only watchers talk to other failure domains; few gates are used there

Now news crosses borders only between watchers, and an entry uses two gates of each service in other domains at a time. Since the watchers carry more, the daemon before one that can not be reached stands in for it after two rounds. Tests failed first: core/tests/spread.rs (borders, stand-in); core/tests/gates.rs.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -232,6 +232,7 @@
             tried: &[],
             patience: Duration::MAX,
             draw,
+            seed: self.incarnation,
         };
         let member = self.gates.pick(now, &search)?;
         let (host, incarnation) = (member.host.clone(), member.incarnation);
--- a/crates/core/src/entry/slow.rs
+++ b/crates/core/src/entry/slow.rs
@@ -104,6 +104,7 @@
             tried: &tried,
             patience: pending.patience(now),
             draw: pending.request.draw,
+            seed: self.incarnation,
         };
         let may_try = pending.tried.len() < GATES_MAX;
         may_try.then(|| self.gates.pick(now, &search)).flatten()
--- a/crates/core/src/gates.rs
+++ b/crates/core/src/gates.rs
@@ -2,6 +2,8 @@
 //! can not be reached at present.
 
 use std::collections::BTreeMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use crate::choice;
@@ -14,6 +16,9 @@
 /// Longest pause between two probes of such a gate.
 pub const PROBE_PAUSE_MAX: Duration = Duration::from_secs(16);
 
+/// Gates of other failure domains that an entry uses at a time, for each service.
+const FAVORITES: usize = 2;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Gate {
     member: Member,
@@ -45,7 +50,7 @@
     pub service: &'a str,
     /// The entry's failure domain.
     pub failure_domain: &'a str,
-    /// Whether only gates of that failure domain count.
+    /// Whether only gates of that failure domain count, where it has any.
     pub near_only: bool,
     /// Gates that are left out.
     pub tried: &'a [id::HostName],
@@ -53,6 +58,26 @@
     pub patience: Duration,
     /// Random draw.
     pub draw: u64,
+    /// What the choice of gates in other failure domains depends on; the same for all
+    /// calls of an entry.
+    pub seed: u64,
+}
+
+/// Leaves out most gates of other failure domains: a connection to each of them would
+/// cost more than the calls that go there.
+fn keep_favorites(open: &mut Vec<&Gate>, search: &Search) {
+    let is_far = |gate: &Gate| gate.member.failure_domain != search.failure_domain;
+    open.sort_by_key(|gate| is_far(gate).then(|| favor(search.seed, &gate.member.host)));
+    let near = open.iter().filter(|gate| !is_far(gate)).count();
+    open.truncate(near + FAVORITES);
+}
+
+/// How much an entry favors a gate over others of other failure domains: spreads
+/// entries evenly, and changes little as gates come and go.
+fn favor(seed: u64, host: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, host).hash(&mut hasher);
+    hasher.finish()
 }
 
 /// All gates that an entry knows.
@@ -100,15 +125,19 @@
     #[must_use]
     pub fn pick(&self, now: Duration, search: &Search) -> Option<&Member> {
         let failure_domain = search.failure_domain;
+        let serves = |gate: &&Gate| gate.member.service == search.service && gate.member.serving;
+        let is_near = |gate: &Gate| gate.member.failure_domain == failure_domain;
+        let has_near = self.0.values().filter(serves).any(is_near);
         let open = |gate: &&Gate| {
-            gate.member.service == search.service
-                && gate.member.serving
-                && !search.tried.contains(&gate.member.host)
-                && (!search.near_only || gate.member.failure_domain == failure_domain)
+            !search.tried.contains(&gate.member.host)
+                && (!search.near_only || !has_near || is_near(gate))
                 && !gate.load.is_closed(now)
-                && gate.may_take(now, search.patience, failure_domain)
         };
-        let all: Vec<&Gate> = self.0.values().filter(open).collect();
+        let mut all: Vec<&Gate> = self.0.values().filter(serves).filter(open).collect();
+        if has_near {
+            keep_favorites(&mut all, search);
+        }
+        all.retain(|gate| gate.may_take(now, search.patience, failure_domain));
         let trusted: Vec<&Gate> = all
             .iter()
             .copied()
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,9 +1,11 @@
 //! Spread of the platform's objects between daemons, and the duties of a few.
 //!
 //! A few daemons of each failure domain watch the platform. Each daemon has a
-//! few lasting peers around the ring of all members: news goes on to some of
-//! them at once, and a digest to one of them each round repairs what was lost. Each daemon checks its successor in its failure domain, and
-//! reports one that stays unreachable.
+//! few lasting peers around the ring of its failure domain: news goes on to some of
+//! them at once, and a digest to one of them each round repairs what was lost. Only
+//! watchers talk to other failure domains, and only to their watchers. Each daemon
+//! checks its successor around the ring, watches in its place while a watcher can not
+//! be reached, and reports one that stays unreachable.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,10 +20,10 @@
 pub const WATCHERS: usize = 2;
 /// Peers in the own failure domain that news goes on to.
 const FANOUT: u32 = 3;
-/// Other peers that are told of news, and ask for it if they lack it: traffic
-/// between failure domains costs, and each domain has watchers of its own.
-const FANOUT_FAR: u32 = 2;
 const BITS_PER_DRAW: u32 = 16;
+/// Rounds without contact after which a daemon watches in its successor's place: one
+/// may be missed by the loss of a datagram.
+const STAND_IN_AFTER: u32 = 2;
 /// Rounds without contact after which a successor is reported.
 const MISSED_MAX: u32 = 30;
 
@@ -83,7 +85,8 @@
     members: BTreeMap<id::HostName, Member>,
     missed: BTreeMap<id::HostName, u32>,
     peers: Vec<id::HostName>,
-    near_peers: Vec<id::HostName>,
+    /// Watchers of each other failure domain.
+    far_watchers: Vec<Vec<id::HostName>>,
     successor: Option<id::HostName>,
 }
 
@@ -97,7 +100,7 @@
             members: BTreeMap::new(),
             missed: BTreeMap::new(),
             peers: Vec::new(),
-            near_peers: Vec::new(),
+            far_watchers: Vec::new(),
             successor: None,
         }
     }
@@ -124,7 +127,20 @@
     /// Whether this daemon should watch the platform.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
-        ring::among_first(&self.own.host, self.neighbors(), WATCHERS)
+        self.watches(&self.own.host) || self.stands_in()
+    }
+
+    fn watches(&self, host: &id::HostName) -> bool {
+        ring::among_first(host, self.neighbors(), WATCHERS)
+    }
+
+    /// Whether the successor has the duty of watching and can not be reached.
+    fn stands_in(&self) -> bool {
+        let Some(successor) = &self.successor else {
+            return false;
+        };
+        let missed = self.missed.get(successor).copied().unwrap_or_default();
+        missed >= STAND_IN_AFTER && self.watches(successor)
     }
 
     fn neighbors(&self) -> impl Iterator<Item = &id::HostName> {
@@ -153,9 +169,11 @@
             ..Message::default()
         };
         let draws = |n: u32| (0..n).map(move |nth| draw.rotate_right(BITS_PER_DRAW * nth));
-        let near = draws(FANOUT).filter_map(|draw| random(&self.near_peers, draw));
+        let near = draws(FANOUT).filter_map(|draw| random(&self.peers, draw));
         out.extend(near.map(|host| Output::Send(host, message.clone())));
-        let far = draws(FANOUT_FAR).filter_map(|draw| random(&self.peers, draw));
+        // Others ask for what they lack: most of it their own watchers have read.
+        let far = self.far_watchers.iter().filter(|_| self.is_watcher());
+        let far = far.filter_map(|watchers| random(watchers, draw));
         out.extend(far.map(|host| Output::Send(host, hint.clone())));
     }
 
@@ -230,9 +248,18 @@
             .collect();
         let known = &self.members;
         self.missed.retain(|host, _| known.contains_key(host));
-        self.peers = ring::fingers(&self.own.host, self.members.keys());
-        self.near_peers = ring::fingers(&self.own.host, self.neighbors());
-        self.successor = self.near_peers.first().cloned();
+        self.peers = ring::fingers(&self.own.host, self.neighbors());
+        self.successor = self.peers.first().cloned();
+        let mut domains: BTreeMap<&id::DomainName, Vec<&id::HostName>> = BTreeMap::new();
+        for member in self.members.values() {
+            let hosts = domains.entry(&member.failure_domain).or_default();
+            hosts.push(&member.host);
+        }
+        domains.remove(&self.own.failure_domain);
+        let watchers = domains
+            .into_values()
+            .map(|hosts| ring::first(hosts.into_iter(), WATCHERS));
+        self.far_watchers = watchers.collect();
     }
 
     fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
@@ -243,6 +270,13 @@
         let mut to: Vec<id::HostName> = self.successor.iter().cloned().collect();
         to.extend(random(&self.peers, draw));
         to.dedup();
+        if self.is_watcher() {
+            let n = self.far_watchers.len().max(1);
+            let domain = usize::try_from(draw).map_or(0, |draw| draw % n);
+            let watchers = self.far_watchers.get(domain);
+            let draw = draw.rotate_right(BITS_PER_DRAW);
+            to.extend(watchers.and_then(|watchers| random(watchers, draw)));
+        }
         out.extend(
             to.into_iter()
                 .map(|host| Output::Send(host, message.clone())),
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -20,6 +20,14 @@
         < n
 }
 
+/// The first `n` hosts by hash.
+#[must_use]
+pub fn first<'a>(hosts: impl Iterator<Item = &'a id::HostName>, n: usize) -> Vec<id::HostName> {
+    let mut hosts: Vec<&id::HostName> = hosts.collect();
+    hosts.sort_by_key(|host| (rank(host), *host));
+    hosts.into_iter().take(n).cloned().collect()
+}
+
 /// The peers at distances 1, 2, 4, 8 and so on after `host` around the ring:
 /// few and lasting, yet every member is a few steps away.
 #[must_use]
--- a/crates/core/tests/gates.rs
+++ b/crates/core/tests/gates.rs
@@ -1,5 +1,6 @@
 //! What an entry does with a gate that takes no work at the moment.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use pollenrouter_core::entry::Member;
@@ -87,6 +88,7 @@
         tried: &[],
         patience,
         draw: 0,
+        seed: 1,
     }
 }
 
@@ -114,5 +116,45 @@
     assert_eq!(picked.is_some(), case.picked);
 }
 
+/// A connection to another failure domain costs more than a call.
+#[test]
+fn an_entry_uses_few_gates_of_other_failure_domains() {
+    let mut gates = Gates::default();
+    let near = Member {
+        host: HOST.into(),
+        service: SERVICE.into(),
+        failure_domain: "leoben".into(),
+        serving: true,
+        ..Member::default()
+    };
+    let far = |at: u32| Member {
+        host: format!("graz-{at}").into(),
+        failure_domain: "graz".into(),
+        ..near.clone()
+    };
+    let all: Vec<Member> = (0..20).map(far).chain([near.clone()]).collect();
+    gates.set(all);
+    let used = |gates: &Gates| {
+        let tried = [near.host.clone()];
+        let picks = (0..1000_u64).filter_map(|draw| {
+            let search = Search {
+                tried: &tried,
+                draw: draw << 32 | draw,
+                ..search("leoben", PATIENCE)
+            };
+            let picked = gates.pick(Duration::ZERO, &search);
+            picked.map(|member| member.host.clone())
+        });
+        picks.collect::<BTreeSet<_>>().len()
+    };
+    assert_eq!(used(&gates), 2);
+    let near_has_left = Member {
+        serving: false,
+        ..near.clone()
+    };
+    gates.set((0..20).map(far).chain([near_has_left]).collect());
+    assert_eq!(used(&gates), 20);
+}
+
 const MEAN: Duration = Duration::from_millis(50);
 const PATIENCE: Duration = Duration::from_millis(200);
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -18,6 +18,8 @@
     rounds: usize,
 }
 
+/// Rounds without contact after which a daemon watches in the place of another.
+const STAND_IN_AFTER: usize = 2;
 /// Rounds without contact after which a daemon is reported.
 const REPORT_AFTER: usize = 30;
 
@@ -50,6 +52,11 @@
     format!("host-{at}").into()
 }
 
+fn host_number(host: &HostName) -> usize {
+    let number = host.strip_prefix("host-").and_then(|n| n.parse().ok());
+    number.expect("host must have a number")
+}
+
 fn member(at: usize) -> Member {
     Member {
         host: host(at),
@@ -113,6 +120,11 @@
         }
     }
 
+    fn watchers(&self) -> Vec<HostName> {
+        let watchers = self.daemons.iter().filter(|(_, d)| d.is_watcher());
+        watchers.map(|(host, _)| host.clone()).collect()
+    }
+
     fn with_version(&self, version: u64) -> usize {
         let has = |d: &&Membership| d.replica().get("services/seats") == Some(&document(version));
         self.daemons.values().filter(has).count()
@@ -166,6 +178,61 @@
     assert_eq!(watchers, 4 * WATCHERS);
 }
 
+/// Traffic between failure domains is paid for, and opening a connection costs more
+/// than most messages.
+#[test]
+fn messages_cross_domains_only_between_watchers() {
+    let mut fleet = fleet(&FULL);
+    let watchers: Vec<HostName> = fleet.watchers();
+    let domain = |host: &HostName| host_number(host) % 4;
+    let document = vec![document(5)];
+    let hosts: Vec<HostName> = fleet.daemons.keys().cloned().collect();
+    for from in hosts {
+        let daemon = fleet.daemons.get_mut(&from).expect("daemon must exist");
+        let mut out = daemon.step(Input::Read(document.clone(), 77));
+        out.extend(daemon.step(Input::Round(78)));
+        for output in out {
+            if let Output::Send(to, _) = output
+                && domain(&from) != domain(&to)
+            {
+                assert!(watchers.contains(&from), "{from} is no watcher");
+                assert!(watchers.contains(&to), "{to} is no watcher");
+            }
+        }
+    }
+}
+
+/// Both watchers of a domain are gone and not reported yet.
+#[test]
+fn others_stand_in_for_watchers_that_can_not_be_reached() {
+    let mut fleet = fleet(&FULL);
+    let gone: Vec<HostName> = fleet.watchers();
+    for (host, daemon) in &mut fleet.daemons {
+        if gone.contains(host) {
+            continue;
+        }
+        for _ in 0..STAND_IN_AFTER {
+            for lost in &gone {
+                daemon.step(Input::Unreachable(lost.clone()));
+            }
+        }
+    }
+    for domain in 0..4 {
+        let standing_in = fleet
+            .watchers()
+            .into_iter()
+            .filter(|host| !gone.contains(host) && host_number(host) % 4 == domain);
+        assert!(standing_in.count() > 0, "nobody watches in domain {domain}");
+    }
+    let host = fleet.watchers().into_iter().find(|h| !gone.contains(h));
+    let back = host.and_then(|host| fleet.daemons.get_mut(&host));
+    let back = back.expect("a daemon must stand in");
+    for host in gone {
+        back.step(Input::Heard(host, Message::default(), 79));
+    }
+    assert!(!back.is_watcher(), "the duty must end with its cause");
+}
+
 #[test]
 fn only_the_daemon_before_reports_one_that_stays_unreachable() {
     let fleet = fleet(&FULL);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -227,6 +227,8 @@
         if members_changed {
             self.members_changed(&mut effects);
         }
+        let watching = self.membership.is_watcher();
+        self.shared.watching.store(watching, Ordering::Relaxed);
         effects
     }
 
@@ -302,9 +304,6 @@
         let peers = self.members.values().filter(there).map(membership_member);
         self.membership
             .step(membership::Input::Members(peers.collect()));
-        self.shared
-            .watching
-            .store(self.membership.is_watcher(), Ordering::Relaxed);
         // Of itself a daemon knows more than its object says, which may be that of an
         // earlier life.
         let is_own = |member: &&Member| member.host == self.own.host;
