Fewer calls to the platform; a daemon that starts asks others for departures

Each change of a member was three calls (create, read, replace) and woke eight watches; a restart made two changes more, since its state was 'leaving' until its target had spoken; a departure was two writes. Now: a daemon writes in place of the object that it knows, or that came with the conflict; members are told between daemons, and a few daemons read them now and then by the cheaper reads that may lag; a starting daemon keeps its state until it can tell; a departure is one write. Now a gate opens when another daemon has told all that it holds, or nobody else is there.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -259,6 +259,15 @@
             .map(|target| &target.announcement.service)
     }
 
+    /// Whether it is too early to tell if the gate will serve: earlier departures are not
+    /// known yet, or the target may still announce itself for the first time. `now`
+    /// counts from the daemon's start.
+    #[must_use]
+    pub fn is_starting(&self, now: Duration) -> bool {
+        let awaits_target = self.targets.current().is_none() && now <= self.announcement_ttl;
+        !self.synced || awaits_target
+    }
+
     /// The target's life, while there is one.
     #[must_use]
     pub fn life(&self) -> Option<&target::Life> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod bucket;
 pub mod call;
+pub mod catchup;
 pub mod choice;
 pub mod documents;
 pub mod entry;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -20,6 +20,8 @@
 pub const WATCHERS: usize = 2;
 /// Peers in the own failure domain that news goes on to.
 const FANOUT: u32 = 3;
+/// Daemons that one is asked of which has just started.
+const ASKED: usize = 3;
 const BITS_PER_DRAW: u32 = 16;
 /// Rounds without contact after which a daemon watches in its successor's place: one
 /// may be missed by the loss of a datagram.
@@ -49,6 +51,8 @@
     pub versions: Option<BTreeMap<Key, id::Version>>,
     /// Objects that may be news.
     pub objects: Vec<Object>,
+    /// Whether these are all that the sender holds and the receiver lacked when it asked.
+    pub is_whole: bool,
 }
 
 /// What happens to a membership.
@@ -64,6 +68,8 @@
     Members(Vec<Member>),
     /// A round begins; with a random draw.
     Round(u64),
+    /// Others are to send what is lacking here.
+    Ask,
 }
 
 /// What the embedder has to do.
@@ -114,6 +120,7 @@
             Input::Unreachable(host) => self.unreachable(&host, &mut out),
             Input::Members(members) => self.members(members),
             Input::Round(draw) => self.round(draw, &mut out),
+            Input::Ask => self.ask(&mut out),
         }
         out
     }
@@ -184,15 +191,26 @@
             held.is_none_or(|object| object.version < *version)
         };
         if news.iter().any(lacks) {
-            let question = Message {
-                digest: Some(self.replica.digest()),
-                versions: Some(self.replica.versions()),
-                objects: Vec::new(),
-            };
-            out.push(Output::Send(host, question));
+            out.push(Output::Send(host, self.question()));
         }
     }
 
+    /// Asks for all objects that are newer than those held.
+    fn question(&self) -> Message {
+        Message {
+            digest: Some(self.replica.digest()),
+            versions: Some(self.replica.versions()),
+            ..Message::default()
+        }
+    }
+
+    /// Asks a few daemons, those of the own failure domain first.
+    fn ask(&self, out: &mut Vec<Output>) {
+        let far = self.far_watchers.iter().flatten();
+        let hosts = self.peers.iter().chain(far).take(ASKED);
+        out.extend(hosts.map(|host| Output::Send(host.clone(), self.question())));
+    }
+
     fn heard(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
         self.missed.remove(&host);
         self.merge(message.objects, draw, out);
@@ -201,16 +219,13 @@
             return;
         }
         let digest = self.replica.digest();
-        if message.digest.is_none_or(|theirs| theirs == digest) {
+        let Some(theirs) = message.digest else {
             return;
-        }
+        };
         let digest = Some(digest);
         let reply = match message.versions {
-            None => Message {
-                digest,
-                versions: Some(self.replica.versions()),
-                objects: Vec::new(),
-            },
+            None if digest == Some(theirs) || message.is_whole => return,
+            None => self.question(),
             Some(theirs) => {
                 let objects = self.replica.newer_than(&theirs);
                 let lacks = theirs
@@ -220,12 +235,11 @@
                     digest,
                     versions: lacks.then(|| self.replica.versions()),
                     objects,
+                    is_whole: true,
                 }
             }
         };
-        if reply.versions.is_some() || !reply.objects.is_empty() {
-            out.push(Output::Send(host, reply));
-        }
+        out.push(Output::Send(host, reply));
     }
 
     fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -58,6 +58,8 @@
     pub versions: Option<Vec<(replica::Key, id::Version)>>,
     /// Objects that the sender believes are news.
     pub objects: Vec<replica::Object>,
+    /// Whether these are all that the sender holds and the receiver lacked when it asked.
+    pub is_whole: bool,
 }
 
 /// Work for the protocol.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use ureq::http::Request;
 
-use crate::dialect::{self, Dialect};
+use crate::dialect::{self, Dialect, Follow, Freshness};
 
 /// A healthy platform answers in milliseconds; one that is slower by this much is
 /// asked again.
@@ -25,8 +25,14 @@
     /// A call to the platform failed.
     #[derive(Debug)]
     pub enum PlatformError {
-        /// The object has another version than the one that was named.
-        Conflict(key: SmolStr, named: id::Version, current: id::Version) {
+        /// The object has another version than the one that was named; with the object,
+        /// where the platform tells it.
+        Conflict(
+            key: SmolStr,
+            named: id::Version,
+            current: id::Version,
+            held: Option<replica::Object>
+        ) {
             display("object `{key}` is at version {current}, the change is based on version {named}")
         }
         /// The changes since the named revision are no longer there.
@@ -80,9 +86,10 @@
         }
     }
 
-    /// Prefixes of keys that are read and watched, each by calls of its own.
+    /// Prefixes of keys that are read, each by calls of its own, and how they are
+    /// followed.
     #[must_use]
-    pub fn prefixes(&self) -> &'static [&'static str] {
+    pub fn prefixes(&self) -> &'static [(&'static str, Follow)] {
         self.dialect.prefixes
     }
 
@@ -107,14 +114,14 @@
     ///
     /// # Errors
     /// [`PlatformError::Unavailable`].
-    pub fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
+    pub fn list(&self, prefix: &str, freshness: Freshness) -> Result<Listing, PlatformError> {
         let mut whole = Listing {
             revision: id::Version::MAX,
             objects: Vec::new(),
         };
         let mut after = SmolStr::default();
         loop {
-            let path = (self.dialect.list)(prefix, &after);
+            let path = (self.dialect.list)(prefix, &after, freshness);
             let body = match self.read(&path, CALL_TIMEOUT)? {
                 (OK, body) => body,
                 (other, _) => return Err(unexpected(other)),
@@ -161,7 +168,8 @@
             OK | CREATED => (self.dialect.read_version)(&body).map_err(malformed),
             CONFLICT => {
                 let current = (self.dialect.read_version)(&body).map_err(malformed)?;
-                Err(PlatformError::Conflict(key.into(), named, current))
+                let held = (self.dialect.read_object)(key, &body).ok();
+                Err(PlatformError::Conflict(key.into(), named, current, held))
             }
             other => Err(unexpected(other)),
         }
@@ -182,8 +190,13 @@
             Ok(version) => return Ok(version),
             Err(failed) => failed,
         };
-        match self.get(key) {
-            Ok(Some(object)) if object.value == value => Ok(object.version),
+        let held = match &failed {
+            PlatformError::Conflict(_, _, _, Some(held)) => Some(held.clone()),
+            // The read's own failure says no more than that of the write.
+            _ => self.get(key).unwrap_or_default(),
+        };
+        match held {
+            Some(object) if object.value == value => Ok(object.version),
             _ => Err(failed),
         }
     }
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -32,15 +32,33 @@
     pub next: Option<SmolStr>,
 }
 
+/// How daemons learn of changes to the objects under a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Follow {
+    /// A few of them watch the platform.
+    Watch,
+    /// Daemons tell each other; a few of them read the platform now and then.
+    Poll,
+}
+
+/// Whether a listing has to be up to date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It shows every change that was acknowledged before.
+    Current,
+    /// It may be some seconds old, where the platform reads so at a lower cost.
+    MayLag,
+}
+
 /// How one platform is spoken to. Keys are those of [`crate::object`].
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
-    /// Prefixes of keys that are read and watched, each by calls of its own.
-    pub prefixes: &'static [&'static str],
+    /// Prefixes of keys that are read, each by calls of its own, and how they are followed.
+    pub prefixes: &'static [(&'static str, Follow)],
     /// Path of one object.
     pub object: fn(key: &str) -> String,
     /// Path of a listing, from where the page before it ended.
-    pub list: fn(prefix: &str, after: &str) -> String,
+    pub list: fn(prefix: &str, after: &str, freshness: Freshness) -> String,
     /// Path of a watch.
     pub watch: fn(prefix: &str, after: id::Version, wait: Duration) -> String,
     /// A write of an object that is still at a version; 0 creates it.
@@ -57,9 +75,9 @@
 
 /// The dialect of the product's own object API.
 pub const OWN: Dialect = Dialect {
-    prefixes: &[""],
+    prefixes: &[("", Follow::Watch)],
     object: |key| format!("objects/{key}"),
-    list: |prefix, _| format!("objects?prefix={prefix}"),
+    list: |prefix, _, _| format!("objects?prefix={prefix}"),
     watch: |_, after, wait| format!("watch?after={after}&wait_ms={}", wait.as_millis()),
     write: own_write,
     read_object: |_, body| parse(body),
--- a/crates/router/src/cmd/audit.rs
+++ b/crates/router/src/cmd/audit.rs
@@ -4,6 +4,7 @@
 
 use pollenrouter_core::{id, replica};
 use pollenrouter_platform::client::Client;
+use pollenrouter_platform::dialect::Freshness;
 use pollenrouter_platform::object::{self, Change};
 
 use crate::cli;
@@ -19,7 +20,7 @@
 pub fn run(args: &cli::Audit) -> Result<(), Error> {
     let client = Client::new(&args.platform.url);
     let mut lines = Vec::new();
-    for object in client.list("")?.objects {
+    for object in client.list("", Freshness::Current)?.objects {
         if is_wanted(&object.key, args.service.as_deref()) {
             lines.extend(of(&object));
         }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -16,8 +16,8 @@
     Daemon(pollenrouter_daemon::message::Event),
     /// From the target.
     Target(pollenrouter_target::message::Event),
-    /// The platform was read in full.
-    Listed(Listing),
+    /// All objects under a prefix were read from the platform.
+    Listed(&'static str, Listing),
     /// A watch or a write brought objects.
     Read(Vec<replica::Object>),
     /// An operator asks for the status.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -11,7 +11,7 @@
 use log::{info, warn};
 use pollenrouter_core::gate::target::Life;
 use pollenrouter_core::membership::{self, Membership};
-use pollenrouter_core::{documents, entry, id, replica, service, share, table};
+use pollenrouter_core::{catchup, documents, entry, id, replica, service, share, table};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
 use pollenrouter_platform::client::Listing;
@@ -86,6 +86,8 @@
     heard_from: BTreeMap<id::HostName, net::SocketAddr>,
     /// Daemons that hold a departure of this host, by its key.
     holders: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
+    catchup: catchup::Catchup,
+    is_synced: bool,
     shared: Shared,
 }
 
@@ -102,6 +104,8 @@
             registered_at: None,
             heard_from: BTreeMap::new(),
             holders: BTreeMap::new(),
+            catchup: catchup::Catchup::default(),
+            is_synced: false,
             own,
             shared,
         };
@@ -164,10 +168,14 @@
         self.shared.set(|known| known.is_stopping = true);
     }
 
-    /// The platform was read in full, as far as it holds documents.
-    pub fn listed(&mut self, listing: Listing) -> Vec<Effect> {
+    /// All objects under a prefix were read from the platform.
+    pub fn listed(&mut self, prefix: &str, listing: Listing) -> Vec<Effect> {
+        if object::MEMBERS.starts_with(prefix) {
+            self.catchup.listed();
+        }
         let input = membership::Input::Read(listing.objects, rand::random());
         let mut effects = self.step(input);
+        self.catch_up(&mut effects);
         if self.profile.table.is_some() {
             return effects;
         }
@@ -193,20 +201,46 @@
                 .versions
                 .map(|versions| versions.into_iter().collect()),
             objects: gossip.objects,
+            is_whole: gossip.is_whole,
         };
-        let theirs = message.digest;
+        let is_equal = message.digest == Some(self.membership.replica().digest());
+        if message.is_whole || is_equal {
+            self.catchup.told();
+        }
         let mut effects = self.step(membership::Input::Heard(
             gossip.host,
             message,
             rand::random(),
         ));
-        // A daemon that holds all that a peer holds knows of earlier departures,
-        // though it can not read the platform.
-        let known_before = self.members.contains_key(&self.own.host);
-        if known_before && theirs == Some(self.membership.replica().digest()) {
+        self.catch_up(&mut effects);
+        effects
+    }
+
+    /// A round begins; a daemon that has just started asks others what it lacks.
+    pub fn round(&mut self) -> Vec<Effect> {
+        self.catchup.round();
+        let mut effects = self.step(membership::Input::Round(rand::random()));
+        self.catch_up(&mut effects);
+        effects
+    }
+
+    /// Opens the gate once departures before this daemon's start are known.
+    fn catch_up(&mut self, effects: &mut Vec<Effect>) {
+        if self.is_synced {
+            return;
+        }
+        let others = self.members.values();
+        let mut others = others.filter(|m| m.state != MemberState::Left && m.host != self.own.host);
+        let view = catchup::View {
+            knows_own: self.members.contains_key(&self.own.host),
+            has_others: others.next().is_some(),
+        };
+        self.is_synced = self.catchup.is_done(view);
+        if self.is_synced {
             effects.push(Effect::Synced);
+        } else {
+            effects.extend(self.step(membership::Input::Ask));
         }
-        effects
     }
 
     /// Takes any other input.
@@ -246,6 +280,7 @@
                 .versions
                 .map(|versions| versions.into_iter().collect()),
             objects: message.objects,
+            is_whole: message.is_whole,
         }
     }
 
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -14,9 +14,12 @@
 const COPIES_MIN: usize = 2;
 
 impl Fleet {
-    /// The life of a target on this host leaves; its object at the platform will say so.
-    pub fn depart(&mut self, life: Life) {
-        if target::note_departed(&mut self.own.departed, life, object::DEPARTED_MAX) {
+    /// The life of a target on this host leaves; one write to the platform says so, and
+    /// the state that follows from it.
+    pub fn depart(&mut self, life: Life, state: MemberState) {
+        let is_new = target::note_departed(&mut self.own.departed, life, object::DEPARTED_MAX);
+        if is_new || self.own.state != state {
+            self.own.state = state;
             self.register();
         }
     }
@@ -34,10 +37,13 @@
             .members
             .values()
             .filter(|member| member.state != MemberState::Left && member.host != self.own.host);
-        let hosts = others.map(|member| &member.host);
-        let mut hosts: Vec<id::HostName> = hosts.cloned().collect();
+        let hosts = others.map(|member| (&member.failure_domain, &member.host));
+        let mut hosts: Vec<(&id::DomainName, &id::HostName)> = hosts.collect();
         let first = usize::from(rand::random::<u16>()) % hosts.len().max(1);
         hosts.rotate_left(first);
+        // A daemon that starts asks those of its failure domain first.
+        hosts.sort_by_key(|(domain, _)| **domain != self.own.failure_domain);
+        let hosts: Vec<id::HostName> = hosts.into_iter().map(|(_, host)| host.clone()).collect();
         for host in hosts.into_iter().take(COPIES_ASKED) {
             if let Some(peer) = self.peer(&host) {
                 let message = membership::Message {
@@ -86,6 +92,7 @@
             target::note_departed(&mut self.own.departed, life.clone(), object::DEPARTED_MAX);
             effects.push(Effect::Departed(life.clone()));
         }
-        effects.push(Effect::Synced);
+        self.catchup.registered();
+        self.catch_up(effects);
     }
 }
--- a/crates/router/src/registry.rs
+++ b/crates/router/src/registry.rs
@@ -10,6 +10,7 @@
 use pollenrouter_core::gate::target;
 use pollenrouter_core::{id, replica};
 use pollenrouter_platform::client::{Client, PlatformError};
+use pollenrouter_platform::dialect::{Follow, Freshness};
 use pollenrouter_platform::object::{self, Change, Member, MemberState, Rejections};
 use smol_str::SmolStr;
 
@@ -22,6 +23,8 @@
 const RETRY_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// A daemon that does not watch reads everything this often.
 const READ_INTERVAL: Duration = Duration::from_mins(5);
+/// Pause between reads of what daemons tell each other: they repair what was lost.
+const POLL_PAUSE: Duration = Duration::from_secs(5);
 /// Pause between reads until one is as new as this daemon's registration.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(100);
 const DUTY_CHECK: Duration = Duration::from_secs(1);
@@ -56,20 +59,25 @@
     confirmed: &Arc<AtomicBool>,
     tx: &event::Sender,
 ) -> Result<(), Error> {
-    for prefix in client.prefixes() {
+    for (prefix, follow) in client.prefixes() {
         let (client, tx) = (client.clone(), tx.clone());
         let (watching, confirmed) = (watching.clone(), confirmed.clone());
         let work = move || {
-            let mut revision = list(&client, prefix, &tx);
+            let mut revision = list(&client, prefix, Freshness::Current, &tx);
             while holds_documents(prefix) && !confirmed.load(Ordering::Relaxed) {
                 thread::sleep(CONFIRM_PAUSE);
-                revision = list(&client, prefix, &tx);
+                revision = list(&client, prefix, Freshness::Current, &tx);
             }
             loop {
-                if watching.load(Ordering::Relaxed) {
+                if !watching.load(Ordering::Relaxed) {
+                    if !wait_for_duty(&watching) {
+                        revision = list(&client, prefix, Freshness::MayLag, &tx);
+                    }
+                } else if *follow == Follow::Watch {
                     revision = watch(&client, prefix, &tx, revision);
-                } else if !wait_for_duty(&watching) {
-                    revision = list(&client, prefix, &tx);
+                } else {
+                    thread::sleep(POLL_PAUSE);
+                    list(&client, prefix, Freshness::MayLag, &tx);
                 }
             }
         };
@@ -86,14 +94,24 @@
 }
 
 /// Reads everything, however long it takes.
-fn list(client: &Client, prefix: &str, tx: &event::Sender) -> id::Version {
-    let listing = retry("read the platform", || client.list(prefix));
+fn list(
+    client: &Client,
+    prefix: &'static str,
+    freshness: Freshness,
+    tx: &event::Sender,
+) -> id::Version {
+    let listing = retry("read the platform", || client.list(prefix, freshness));
     let revision = listing.revision;
-    event::deliver(tx, Event::Listed(listing));
+    event::deliver(tx, Event::Listed(prefix, listing));
     revision
 }
 
-fn watch(client: &Client, prefix: &str, tx: &event::Sender, revision: id::Version) -> id::Version {
+fn watch(
+    client: &Client,
+    prefix: &'static str,
+    tx: &event::Sender,
+    revision: id::Version,
+) -> id::Version {
     match client.watch(prefix, revision) {
         Ok(listing) => {
             if !listing.objects.is_empty() {
@@ -103,7 +121,7 @@
         }
         Err(PlatformError::Compacted) => {
             info!(prefix, revision; "the platform dropped its history, reading all of it");
-            list(client, prefix, tx)
+            list(client, prefix, Freshness::Current, tx)
         }
         Err(err) => {
             warn!("could not watch the platform: {err}");
@@ -133,9 +151,15 @@
     tx: event::Sender,
 ) -> Result<(), Error> {
     let work = move || {
+        let mut own = None;
         for write in writes {
             let written = match &write {
-                Write::Register(member) => retry("register", || register(&client, member, &author)),
+                Write::Register(member) => {
+                    let written =
+                        retry("register", || register(&client, member, &mut own, &author));
+                    own.clone_from(&written);
+                    written
+                }
                 Write::Rejected(service, version, findings) => retry("note a rejection", || {
                     reject(&client, service, *version, findings, &author)
                 }),
@@ -156,23 +180,43 @@
 
 type Written = Result<Option<replica::Object>, PlatformError>;
 
-/// Writes this daemon's object; what an earlier life of it left there is kept.
-fn register(client: &Client, member: &Member, author: &str) -> Written {
+/// Writes this daemon's object in place of the one that it is known to have; what an
+/// earlier life of it left there is kept. Where the platform has another one, that one
+/// is known from then on.
+fn register(
+    client: &Client,
+    member: &Member,
+    known: &mut Option<replica::Object>,
+    author: &str,
+) -> Written {
     let key = object::member_key(&member.host);
-    let created = put(client, &key, member.clone(), 0, author);
-    if !matches!(created, Err(PlatformError::Conflict(..))) {
-        return created;
-    }
-    let held = client.get(&key)?;
-    let version = held.as_ref().map_or(0, |object| object.version);
+    let failed = match replace(client, &key, member, known.as_ref(), author) {
+        Err(PlatformError::Conflict(_, _, _, held)) => held,
+        written => return written,
+    };
+    *known = match failed {
+        Some(held) => Some(held),
+        None => client.get(&key)?,
+    };
+    replace(client, &key, member, known.as_ref(), author)
+}
+
+fn replace(
+    client: &Client,
+    key: &SmolStr,
+    member: &Member,
+    held: Option<&replica::Object>,
+    author: &str,
+) -> Written {
+    let version = held.map_or(0, |object| object.version);
     let mut member = member.clone();
-    if let Some(held) = held.as_ref().and_then(parse) {
+    if let Some(held) = held.and_then(parse) {
         member.changes = held.changes;
         for life in std::mem::replace(&mut member.departed, held.departed) {
             target::note_departed(&mut member.departed, life, object::DEPARTED_MAX);
         }
     }
-    put(client, &key, member, version, author)
+    put(client, key, member, version, author)
 }
 
 fn report(client: &Client, host: &str, incarnation: id::Incarnation, author: &str) -> Written {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -98,8 +98,8 @@
             Event::Caller(event) => self.caller(event),
             Event::Daemon(event) => self.daemon(event),
             Event::Target(event) => self.target(event),
-            Event::Listed(listing) => {
-                let effects = self.fleet.listed(listing);
+            Event::Listed(prefix, listing) => {
+                let effects = self.fleet.listed(prefix, listing);
                 self.apply(effects);
             }
             Event::Read(objects) => {
@@ -200,10 +200,10 @@
                 if self.service.as_ref() != Some(&service) {
                     self.serve(service);
                 }
-                self.update_state();
                 if leaves {
                     self.departs(life, reply_to);
                 } else {
+                    self.update_state();
                     acknowledge(reply_to);
                 }
             }
@@ -232,13 +232,14 @@
     /// restart of this daemon does not undo it.
     fn departs(&mut self, life: Life, reply_to: oneshot::Sender<()>) {
         self.calls.departed(life.clone());
-        self.update_state();
         if self.departed.iter().any(|known| known.covers(&life)) {
+            self.update_state();
             acknowledge(reply_to);
             return;
         }
         info!(target:% = life.name, born = life.born; "target leaves");
-        self.fleet.depart(life.clone());
+        let state = self.state();
+        self.fleet.depart(life.clone(), state);
         self.leaving.push(Leaving {
             life,
             since: self.calls.now(),
@@ -285,13 +286,21 @@
         self.service = Some(service);
     }
 
+    /// State of this daemon as others should see it.
+    fn state(&self) -> MemberState {
+        match self.calls.gate().serving(self.calls.now()) {
+            Some(_) => MemberState::Serving,
+            None => MemberState::Leaving,
+        }
+    }
+
     fn update_state(&mut self) {
-        let serving = self.calls.gate().serving(self.calls.now()).is_some();
-        let state = if serving {
-            MemberState::Serving
-        } else {
-            MemberState::Leaving
-        };
+        // A daemon that has just started stands in the fleet as it will in a moment: each
+        // change of its state is a write.
+        if self.calls.gate().is_starting(self.calls.now()) && self.stopping_since.is_none() {
+            return;
+        }
+        let state = self.state();
         if self.service.is_some() {
             self.fleet.set_state(self.service.clone(), state);
         }
@@ -299,7 +308,8 @@
 
     fn round(&mut self) {
         self.update_state();
-        self.fleet_step(membership::Input::Round(rand::random()));
+        let effects = self.fleet.round();
+        self.apply(effects);
         self.probe();
         let hint = self.calls.gate().hint(self.calls.now());
         let remembered = self.calls.gate().remembered();
