--- a/crates/dev/src/deployment.rs
+++ b/crates/dev/src/deployment.rs
@@ -76,7 +76,8 @@
     pub target_address: SocketAddr,
     /// Ledger of the target.
     pub ledger: PathBuf,
-    settings: PathBuf,
+    /// Settings of the daemon.
+    pub settings: PathBuf,
 }
 
 /// A running deployment.
--- a/crates/dev/tests/operator.rs
+++ b/crates/dev/tests/operator.rs
@@ -119,3 +119,20 @@
     let ended = caller::call_once(deployment.hosts[0].addresses.public, &list);
     assert!(matches!(ended.told, Told::Answered { .. }), "{ended:?}");
 }
+
+/// The file may be replaced without a signal.
+#[test]
+fn settings_that_change_without_a_signal_are_checked() {
+    let deployment = Deployment::start(&support::plan(1, 0)).expect("deployment must start");
+    let daemon = deployment.hosts[0]
+        .daemon
+        .as_ref()
+        .expect("daemon must run");
+    std::fs::write(&deployment.hosts[0].settings, "host: {").expect("settings must be written");
+    support::until("the daemon tells", || {
+        let lines = daemon.latest();
+        lines
+            .iter()
+            .any(|line| line.contains("reload: the settings can not be used"))
+    });
+}
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -161,6 +161,7 @@
 
     /// Asks the target for its load; a full ring stands for no answer.
     fn ask_load(&mut self) {
+        self.instruments.asked_load();
         let asked = self.rings.target.try_send(target::Command::AskLoad);
         if asked.is_err() {
             self.steps.push_back(Step::Gate(gate::Input::Unreported));
--- a/crates/router/src/cmd/run.rs
+++ b/crates/router/src/cmd/run.rs
@@ -18,7 +18,25 @@
         .map_err(|findings| Error::Findings(check::print(&args.settings, &findings)))?;
     logging::init(settings.log)?;
     let path = args.settings.clone();
-    threads::run(&settings, Box::new(move || recheck(&path)))
+    let mut known = text;
+    let changed = args.settings.clone();
+    let reload = threads::Reload {
+        on_signal: Box::new(move || recheck(&path)),
+        on_timer: Box::new(move || check_change(&changed, &mut known)),
+    };
+    threads::run(&settings, reload)
+}
+
+/// Checks settings that have changed without a signal.
+fn check_change(path: &Path, known: &mut String) {
+    // A file that is being replaced is read at the next check.
+    let Ok(text) = cmd::read(path) else {
+        return;
+    };
+    if text != *known {
+        *known = text;
+        recheck(path);
+    }
 }
 
 /// Tells what a restart would make of the settings; they hold until then.
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -19,6 +19,8 @@
     probes: Counter<u64>,
     running: Gauge<u64>,
     waiting: Gauge<u64>,
+    slowness: Gauge<u64>,
+    questions: Counter<u64>,
     remembered: Gauge<u64>,
     members: Gauge<u64>,
     _provider: SdkMeterProvider,
@@ -39,6 +41,8 @@
         probes: meter.u64_counter("pollenrouter_probes").build(),
         running: meter.u64_gauge("pollenrouter_gate_running").build(),
         waiting: meter.u64_gauge("pollenrouter_gate_waiting").build(),
+        slowness: meter.u64_gauge("pollenrouter_gate_slowness").build(),
+        questions: meter.u64_counter("pollenrouter_load_questions").build(),
         remembered: meter.u64_gauge("pollenrouter_gate_remembered").build(),
         members: meter.u64_gauge("pollenrouter_members").build(),
         _provider: provider,
@@ -72,10 +76,16 @@
         self.probes.add(1, &[]);
     }
 
+    /// Counts a question for the target's load.
+    pub fn asked_load(&self) {
+        self.questions.add(1, &[]);
+    }
+
     /// Sets the gate's load.
     pub fn gate(&self, hint: &hint::Hint, remembered: usize, members: usize) {
         self.running.record(hint.running.into(), &[]);
         self.waiting.record(hint.waiting.into(), &[]);
+        self.slowness.record(hint.slowness.into(), &[]);
         self.remembered.record(remembered as u64, &[]);
         self.members.record(members as u64, &[]);
     }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -31,13 +31,16 @@
 use crate::registry;
 use crate::router::Router;
 use crate::routes;
-use crate::timer::Timer;
+use crate::timer::{self, Timer};
 
 /// Commands that may wait for the protocol, and for the target's client.
 const RING: usize = 4096;
 /// Announcements in a row that may fail to come before a target counts as gone.
 const ANNOUNCEMENTS_MISSED: u32 = 3;
 const TICK: Duration = Duration::from_millis(25);
+/// The settings are read again this often: an operator expects to be told of a mistake
+/// while still at work on them.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Time for the last write to the platform and the last answers.
 const LAST_WRITES: Duration = Duration::from_millis(300);
 
@@ -72,10 +75,15 @@
 }
 
 /// Checks the settings again after a change.
-pub type Recheck = Box<dyn Fn() + Send>;
+pub struct Reload {
+    /// When a signal tells of one.
+    pub on_signal: Box<dyn Fn() + Send>,
+    /// Now and then, if there is one.
+    pub on_timer: timer::Callback,
+}
 
 /// Runs a daemon until a planned stop is done.
-pub fn run(settings: &settings::Settings, recheck: Recheck) -> Result<(), Error> {
+pub fn run(settings: &settings::Settings, reload: Reload) -> Result<(), Error> {
     let profile = Profile::of(settings);
     let transport = match &settings.keys {
         None => {
@@ -158,8 +166,8 @@
         tx: tx.clone(),
         rx,
     };
-    start_timer(&tx)?;
-    start_signals(tx, recheck)?;
+    start_timer(&tx, reload.on_timer)?;
+    start_signals(tx, reload.on_signal)?;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -365,7 +373,7 @@
     }
 }
 
-fn start_timer(tx: &event::Sender) -> Result<(), Error> {
+fn start_timer(tx: &event::Sender, check_settings: timer::Callback) -> Result<(), Error> {
     let mut timer = Timer::default();
     let ticks = tx.clone();
     timer.subscribe(
@@ -381,10 +389,11 @@
             event::offer(&rounds, Event::Round);
         }),
     );
+    timer.subscribe(SETTINGS_CHECK, check_settings);
     timer.start()
 }
 
-fn start_signals(tx: event::Sender, recheck: Recheck) -> Result<(), Error> {
+fn start_signals(tx: event::Sender, recheck: Box<dyn Fn() + Send>) -> Result<(), Error> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let work = move || {
         for signal in signals.forever() {
