Starts, departures and catching up in files of their own

Moves only, but for one: a gate that refuses a call as slow is noted by the open attempt, not by the latest gate that was tried, which may be another one.

--- a/crates/core/src/entry/slow.rs
+++ b/crates/core/src/entry/slow.rs
@@ -53,10 +53,10 @@
         let Some(pending) = self.pending.get_mut(&token) else {
             return;
         };
-        if let Some(host) = pending.tried.last()
-            && !pending.slow.hosts.contains(host)
+        if let Some(attempt) = &pending.attempt
+            && !pending.slow.hosts.contains(&attempt.host)
         {
-            pending.slow.hosts.push(host.clone());
+            pending.slow.hosts.push(attempt.host.clone());
         }
     }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -224,25 +224,6 @@
         effects
     }
 
-    /// Opens the gate once departures before this daemon's start are known.
-    fn catch_up(&mut self, effects: &mut Vec<Effect>) {
-        if self.is_synced {
-            return;
-        }
-        let others = self.members.values();
-        let mut others = others.filter(|m| m.state != MemberState::Left && m.host != self.own.host);
-        let view = catchup::View {
-            knows_own: self.members.contains_key(&self.own.host),
-            has_others: others.next().is_some(),
-        };
-        self.is_synced = self.catchup.is_done(view);
-        if self.is_synced {
-            effects.push(Effect::Synced);
-        } else {
-            effects.extend(self.step(membership::Input::Ask));
-        }
-    }
-
     /// Takes any other input.
     pub fn step(&mut self, input: membership::Input) -> Vec<Effect> {
         let mut effects = Vec::new();
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -2,7 +2,7 @@
 
 use log::warn;
 use pollenrouter_core::gate::target::{self, Life};
-use pollenrouter_core::{id, membership, replica};
+use pollenrouter_core::{catchup, id, membership, replica};
 use pollenrouter_daemon::message::Command;
 use pollenrouter_platform::object::{self, Member, MemberState};
 
@@ -86,6 +86,25 @@
         }
     }
 
+    /// Opens the gate once departures before this daemon's start are known.
+    pub(super) fn catch_up(&mut self, effects: &mut Vec<Effect>) {
+        if self.is_synced {
+            return;
+        }
+        let others = self.members.values();
+        let mut others = others.filter(|m| m.state != MemberState::Left && m.host != self.own.host);
+        let view = catchup::View {
+            knows_own: self.members.contains_key(&self.own.host),
+            has_others: others.next().is_some(),
+        };
+        self.is_synced = self.catchup.is_done(view);
+        if self.is_synced {
+            effects.push(Effect::Synced);
+        } else {
+            effects.extend(self.step(membership::Input::Ask));
+        }
+    }
+
     /// This daemon's own object stands at the platform.
     pub(super) fn registered(&mut self, member: &Member, effects: &mut Vec<Effect>) {
         for life in &member.departed {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,7 +1,9 @@
 //! The router: takes events in order and decides.
 
+mod departures;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use log::info;
 use pollenrouter_caller::message as caller;
@@ -18,9 +20,6 @@
 use crate::routes;
 use crate::status;
 
-/// A departure that the platform has not taken by then is copied to other
-/// daemons; a target waits one second for an acknowledgement.
-const PLATFORM_PATIENCE: Duration = Duration::from_millis(250);
 /// Longest time for which a daemon that stops takes callers: they are told within two
 /// seconds to go elsewhere. At most half of the time for the stop, so that the other
 /// half is left for what was taken.
@@ -43,16 +42,7 @@
     /// Whether a target's life is known to the platform to have left.
     departed: BTreeSet<Life>,
     /// Targets that leave and wait until that will last.
-    leaving: Vec<Leaving>,
-}
-
-/// A target that leaves and waits until that will last.
-struct Leaving {
-    life: Life,
-    since: Duration,
-    /// Whether other daemons were asked to hold a copy of the departure.
-    copied: bool,
-    reply_to: oneshot::Sender<()>,
+    leaving: Vec<departures::Leaving>,
 }
 
 impl Router {
@@ -211,72 +201,6 @@
         }
     }
 
-    /// The life that a target means which does not say when it started. Of a target
-    /// that was not heard of yet, every life up to now has left.
-    fn full_life(&self, life: Life) -> Life {
-        if life.born != 0 {
-            return life;
-        }
-        let leaving = self.leaving.iter().map(|leaving| &leaving.life);
-        let mut known = self.calls.gate().life().into_iter().chain(leaving);
-        known
-            .find(|known| known.name == life.name)
-            .cloned()
-            .unwrap_or_else(|| Life {
-                born: unix_millis(),
-                ..life
-            })
-    }
-
-    /// A target leaves: nothing more goes to it, and that is acknowledged once a
-    /// restart of this daemon does not undo it.
-    fn departs(&mut self, life: Life, reply_to: oneshot::Sender<()>) {
-        self.calls.departed(life.clone());
-        if self.departed.iter().any(|known| known.covers(&life)) {
-            self.update_state();
-            acknowledge(reply_to);
-            return;
-        }
-        info!(target:% = life.name, born = life.born; "target leaves");
-        let state = self.state();
-        self.fleet.depart(life.clone(), state);
-        self.leaving.push(Leaving {
-            life,
-            since: self.calls.now(),
-            copied: false,
-            reply_to,
-        });
-    }
-
-    /// Copies departures to other daemons that the platform does not take.
-    fn copy_departures(&mut self) {
-        let now = self.calls.now();
-        let mut effects = Vec::new();
-        for leaving in &mut self.leaving {
-            if !leaving.copied && now >= leaving.since + PLATFORM_PATIENCE {
-                leaving.copied = true;
-                effects.extend(self.fleet.copy_departure(&leaving.life));
-            }
-        }
-        // A target that asked again has a request of its own.
-        self.leaving.retain(|leaving| !leaving.reply_to.is_closed());
-        self.apply(effects);
-    }
-
-    /// That a target has left is known, whatever becomes of this daemon.
-    fn departure_kept(&mut self, life: Life) {
-        self.calls.departed(life.clone());
-        let (kept, waiting) = std::mem::take(&mut self.leaving)
-            .into_iter()
-            .partition(|leaving| life.covers(&leaving.life));
-        self.leaving = waiting;
-        let kept: Vec<Leaving> = kept;
-        for leaving in kept {
-            acknowledge(leaving.reply_to);
-        }
-        self.departed.insert(life);
-    }
-
     fn serve(&mut self, service: id::ServiceName) {
         info!(service:%; "target announced itself");
         let table = self.fleet.table();
@@ -404,13 +328,6 @@
     }
 }
 
-/// Time of day, milliseconds since 1970, as targets state their starts.
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.unwrap_or_default().as_millis();
-    u64::try_from(millis).unwrap_or(u64::MAX)
-}
-
 /// Tells a target that its word was taken; it may have given up on that.
 fn acknowledge(reply_to: oneshot::Sender<()>) {
     let _ = reply_to.send(());
