--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -91,7 +91,7 @@
     Departed(target::Life),
     /// The target reported its load.
     Reported(Report),
-    /// The target did not report its load when it was asked; it does not.
+    /// The target was asked for its load and did not report it.
     Unreported,
     /// Announcements are believed from now on: departures before this daemon's
     /// start are known.
