News goes on to all peers of a failure domain

News went to three random peers, which leaves out one daemon in twenty; those waited for the round of 1 s that repairs losses, and longer where their predecessor had been left out. Ruled out: the watch (the first host has each version 0.02 s after the acknowledgement), processor time (0.09 of a core at most). Now three peers get the object, and the others are told of it and ask.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,7 +1,7 @@
 //! Spread of the platform's objects between daemons, and the duties of a few.
 //!
 //! A few daemons of each failure domain watch the platform. Each daemon has a
-//! few lasting peers around the ring of its failure domain: news goes on to some of
+//! few lasting peers around the ring of its failure domain: news goes on to all of
 //! them at once, and a digest to one of them each round repairs what was lost. Only
 //! watchers talk to other failure domains, and only to their watchers. Each daemon
 //! checks its successor around the ring, watches in its place while a watcher can not
@@ -18,8 +18,8 @@
 pub const ROUND: Duration = Duration::from_secs(1);
 /// Daemons of a failure domain that watch the platform.
 pub const WATCHERS: usize = 2;
-/// Peers in the own failure domain that news goes on to.
-const FANOUT: u32 = 3;
+/// Peers that news goes on to; the others are told of it, and ask if they lack it.
+const FANOUT: usize = 3;
 /// Daemons that one is asked of which has just started.
 const ASKED: usize = 3;
 const BITS_PER_DRAW: u32 = 16;
@@ -175,9 +175,15 @@
             objects: news,
             ..Message::default()
         };
-        let draws = |n: u32| (0..n).map(move |nth| draw.rotate_right(BITS_PER_DRAW * nth));
-        let near = draws(FANOUT).filter_map(|draw| random(&self.peers, draw));
-        out.extend(near.map(|host| Output::Send(host, message.clone())));
+        // All peers hear of it: with some of them left out, one in twenty daemons would
+        // have to wait for a round.
+        let n = u64::try_from(self.peers.len()).unwrap_or(u64::MAX).max(1);
+        let first = usize::try_from(draw % n).unwrap_or(0);
+        let (before, after) = self.peers.split_at(first);
+        for (at, host) in after.iter().chain(before).enumerate() {
+            let message = if at < FANOUT { &message } else { &hint };
+            out.push(Output::Send(host.clone(), message.clone()));
+        }
         // Others ask for what they lack: most of it their own watchers have read.
         let far = self.far_watchers.iter().filter(|_| self.is_watcher());
         let far = far.filter_map(|watchers| random(watchers, draw));
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -160,6 +160,19 @@
     );
 }
 
+/// A round is a second, and a configuration has to be in force within a few: what no
+/// message lost must not wait for the rounds that repair losses.
+#[rstest]
+#[case(SMALL)]
+#[case(FULL)]
+fn news_reaches_every_daemon_before_the_next_round(#[case] case: Case) {
+    let mut fleet = fleet(&case);
+    for host in fleet.watchers() {
+        fleet.step(&host, Input::Read(vec![document(5)], 77));
+    }
+    assert_eq!(fleet.with_version(5), case.daemons);
+}
+
 #[test]
 fn an_older_version_changes_nothing() {
     let mut fleet = fleet(&SMALL);
