Callers may pipeline; one that leaves is noticed behind unread bytes

Cause: hyper's server takes a request after the response to the one before, and while bytes wait in its buffer it reads nothing, so it does not see that the caller has left.

Ruled out: hyper's pipeline_flush (joins responses, no concurrency), hyper over a pipe in memory (two copies, and the end of a request has to be known first), actix-http (one request at a time as well). Now a connection loop on httparse, hyper's own parser; head, body, response and buffer are files of their own. Requests that may repeat run at the same time, others alone.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,6 +1,11 @@
 //! Listeners for callers: read complete HTTP requests and respond with the result of the call.
 
+pub mod buffer;
+pub mod connection;
+pub mod decoder;
 pub mod disconnect;
+pub mod encode;
+pub mod head;
 pub mod listener;
 pub mod message;
 pub mod request;
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -7,18 +7,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use futures_util::FutureExt;
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
 use log::debug;
 use pollenrouter_core::call::{MAX_DEPTH, Refusal, UnknownReason};
 use pollenrouter_core::{http_message, id, service, table};
 use pollenrouter_http::convention::Convention;
 use pollenrouter_http::problem::CallOutcome;
-use pollenrouter_http::{body, head, problem, server};
+use pollenrouter_http::{head, problem, server};
 use smol_str::SmolStr;
 use tokio::sync::{oneshot, watch};
 
+use crate::connection::{self, Admission, ReadRequest};
 use crate::disconnect;
 use crate::message::{Call, CallerResult, CallerResultKind, Event};
 use crate::request;
@@ -26,14 +27,13 @@
 
 /// Path prefix at which callers request tickets; it is followed by the name of the service.
 const TICKETS_PATH: &str = "/.pollenrouter/tickets/";
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of the body of a request for a ticket, which is ignored.
+const TICKET_BODY_MAX_BYTES: u64 = 1024;
 
 /// Queues an event; returns false if the queue is full.
 pub type Sink = Arc<dyn Fn(Event) -> bool + Send + Sync>;
 /// Looks up the route of a request.
 pub type RouteLookup = Arc<dyn Fn(&request::ParsedRequest) -> LookupResult + Send + Sync>;
-/// Returns the current limits for callers, which can change at run time.
-pub type CurrentLimits = Arc<dyn Fn() -> table::CallerLimits + Send + Sync>;
 
 /// Result of a route lookup.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,7 +65,7 @@
     /// Looks up routes.
     pub lookup: RouteLookup,
     /// Limits for callers.
-    pub limits: CurrentLimits,
+    pub limits: connection::CurrentLimits,
     /// Counter for call tokens, shared by all listeners of a daemon.
     pub next_token: Arc<AtomicU64>,
     /// Header names, paths and protocol options.
@@ -85,67 +85,63 @@
     stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     let limits = cx.limits.clone();
-    let idle_timeout: server::IdleTimeout = Rc::new(move || limits().idle_timeout);
     let cx = Rc::new(cx);
-    let handler = move |req| {
-        let cx = cx.clone();
-        async move { handle(&cx, audience, req).await }
+    let admit: connection::Admit = Rc::new(move |head| admit(&cx, audience, head));
+    let serve_connection = {
+        let stop = stop.clone();
+        move |stream| connection::serve(stream, admit.clone(), limits.clone(), stop.clone())
     };
-    server::serve_with_idle_timeout(
-        listener,
-        server::Limits::default(),
-        idle_timeout,
-        stop,
-        handler,
-    )
-    .await
+    let max_connections = server::Limits::default().max_connections;
+    server::accept(listener, max_connections, stop, serve_connection).await
 }
 
-async fn handle(
-    cx: &Context,
-    audience: service::Audience,
-    req: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+/// Decides on a request by its head.
+fn admit(cx: &Rc<Context>, audience: service::Audience, head: &Parts) -> Admission {
     if cx.convention.tickets
-        && let Some(service) = req.uri().path().strip_prefix(TICKETS_PATH)
+        && let Some(service) = head.uri.path().strip_prefix(TICKETS_PATH)
     {
-        return issue_ticket(cx, req.method(), service.into()).await;
+        return issue_ticket(cx, &head.method, service.into());
     }
-    let parsed = match request::parse(&cx.convention, &req) {
+    let parsed = match request::parse(&cx.convention, head) {
         Ok(parsed) => parsed,
         Err(err) => {
-            let ticket = request::parse_ticket(req.headers()).ok().flatten();
-            return response::rejected(response::invalid_head(&err), ticket.as_ref());
+            let ticket = request::parse_ticket(&head.headers).ok().flatten();
+            let rejected = response::rejected(response::invalid_head(&err), ticket.as_ref());
+            return Admission::Respond(rejected);
         }
     };
-    let ticket = parsed.ticket.clone();
-    match route(cx, audience, parsed, req).await {
-        Ok(response) => response,
-        Err(rejection) => response::rejected(rejection, ticket.as_ref()),
-    }
-}
-
-/// Looks up the route, reads the body and performs the call. An `Err` is the response for a
-/// request that the listener rejects before the router has received it.
-async fn route(
-    cx: &Context,
-    audience: service::Audience,
-    parsed: request::ParsedRequest,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let refused = |refusal| {
         debug!(host:% = parsed.host, path:% = parsed.path; "request rejected: {refusal}");
-        response::refused(&cx.convention, refusal, None, false)
+        let refused = response::refused(&cx.convention, refusal, None, false);
+        Admission::Respond(response::rejected(refused, parsed.ticket.as_ref()))
     };
     let matched = match (cx.lookup)(&parsed) {
         LookupResult::Route(matched) => matched,
-        LookupResult::NoRoute => return Err(refused(Refusal::NoRoute)),
-        LookupResult::NotReady => return Err(refused(Refusal::NotReady)),
+        LookupResult::NoRoute => return refused(Refusal::NoRoute),
+        LookupResult::NotReady => return refused(Refusal::NotReady),
+    };
+    let headers = forwarded_headers(cx, audience, &head.headers);
+    let body_max_bytes = matched.body_bytes;
+    // Requests may run at the same time only if their order does not matter (RFC 9112,
+    // section 9.3.2).
+    let is_concurrent = matched.route.policy.repeatable && parsed.ticket.is_none();
+    let cx = cx.clone();
+    let run = move |read: ReadRequest| {
+        async move {
+            let ticket = parsed.ticket.clone();
+            let performed = match read.body {
+                Ok(body) => call(&cx, audience, parsed, *matched, headers, body, read.waited).await,
+                Err(err) => Err(response::body_error(&err)),
+            };
+            performed.unwrap_or_else(|rejection| response::rejected(rejection, ticket.as_ref()))
+        }
+        .boxed_local()
     };
-    let headers = forwarded_headers(cx, audience, req.headers());
-    let body = body::read(req.into_body(), matched.body_bytes, BODY_TIMEOUT).await;
-    let body = body.map_err(|err| response::body_error(&err))?;
-    call(cx, audience, parsed, *matched, headers, body).await
+    Admission::Run {
+        body_max_bytes,
+        is_concurrent,
+        run: Box::new(run),
+    }
 }
 
 /// The end-to-end headers to forward. The deadline header and the caller header of the request
@@ -169,6 +165,7 @@
     forwarded
 }
 
+/// Performs a call. An `Err` is the response to a request that the router has not received.
 async fn call(
     cx: &Context,
     audience: service::Audience,
@@ -176,10 +173,20 @@
     matched: RouteMatch,
     headers: Vec<http_message::Header>,
     body: Bytes,
-) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    waited: Duration,
+) -> Result<Response<Bytes>, Response<Bytes>> {
+    let had_ticket = parsed.ticket.is_some();
+    let deadline = parsed.remaining.unwrap_or(matched.route.policy.deadline);
+    if waited >= deadline {
+        return Err(response::refused(
+            &cx.convention,
+            Refusal::Late,
+            None,
+            had_ticket,
+        ));
+    }
     let token = cx.next_token.fetch_add(1, Ordering::Relaxed);
     let (reply_to, result) = oneshot::channel();
-    let had_ticket = parsed.ticket.is_some();
     let path = match &parsed.path[matched.route.strip_bytes..] {
         rest if rest.starts_with('/') => SmolStr::new(rest),
         rest => format!("/{rest}").into(),
@@ -196,6 +203,7 @@
         route: matched.route,
         body,
         remaining: parsed.remaining,
+        waited,
         depth: effective_depth(audience, parsed.depth),
         ticket: parsed.ticket,
         reply_to,
@@ -222,31 +230,29 @@
     }
 }
 
-async fn issue_ticket(
-    cx: &Context,
-    method: &Method,
-    service: id::ServiceName,
-) -> Response<Full<Bytes>> {
+fn issue_ticket(cx: &Rc<Context>, method: &Method, service: id::ServiceName) -> Admission {
     if method != Method::POST {
         let detail = "tickets are issued on POST";
-        return problem::response(StatusCode::METHOD_NOT_ALLOWED, CallOutcome::NotRun, detail);
+        let status = StatusCode::METHOD_NOT_ALLOWED;
+        return Admission::Respond(problem::response(status, CallOutcome::NotRun, detail));
     }
-    let (reply_to, issued) = oneshot::channel();
-    if !(cx.sink)(Event::TicketRequested(service, reply_to)) {
-        return response::refused(&cx.convention, Refusal::Overloaded, None, false);
-    }
-    match issued.await.ok().flatten() {
-        None => response::refused(&cx.convention, Refusal::NoTarget, None, false),
-        Some(ticket) => {
-            let text = SmolStr::new(ticket.to_string());
-            let mut response = problem::json_response(
-                StatusCode::OK,
-                &[("ticket", text)]
-                    .into_iter()
-                    .collect::<std::collections::BTreeMap<_, _>>(),
-            );
-            response::set_ticket(&mut response, &ticket);
-            response
+    let cx = cx.clone();
+    let run = move |_: ReadRequest| {
+        async move {
+            let (reply_to, issued) = oneshot::channel();
+            if !(cx.sink)(Event::TicketRequested(service, reply_to)) {
+                return response::refused(&cx.convention, Refusal::Overloaded, None, false);
+            }
+            match issued.await.ok().flatten() {
+                None => response::refused(&cx.convention, Refusal::NoTarget, None, false),
+                Some(ticket) => response::ticket(&ticket),
+            }
         }
+        .boxed_local()
+    };
+    Admission::Run {
+        body_max_bytes: TICKET_BODY_MAX_BYTES,
+        is_concurrent: true,
+        run: Box::new(run),
     }
 }
--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -19,8 +19,11 @@
     pub head: http_message::RequestHead,
     /// Complete request body.
     pub body: Bytes,
-    /// Time left until the deadline, if the caller states it.
+    /// Time from the arrival of the request to its deadline, if the caller states it.
     pub remaining: Option<Duration>,
+    /// Time since the request arrived, by which `remaining` and all defaults for it are shorter
+    /// now.
+    pub waited: Duration,
     /// 0 on the public listener, at least 1 on the internal listener.
     pub depth: u8,
     /// Ticket that the caller sent.
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::http::request::Parts;
 use pollenrouter_core::{call, id};
 use pollenrouter_http::convention::Convention;
 use pollenrouter_http::{head, problem};
@@ -58,15 +58,12 @@
 ///
 /// # Errors
 /// Returns a [`RequestError`] if a header is invalid or not supported.
-pub fn parse(
-    convention: &Convention,
-    request: &hyper::Request<Incoming>,
-) -> Result<ParsedRequest, RequestError> {
-    let headers = request.headers();
+pub fn parse(convention: &Convention, request: &Parts) -> Result<ParsedRequest, RequestError> {
+    let headers = &request.headers;
     if convention.tickets && headers.contains_key(IDEMPOTENCY_KEY) {
         return Err(RequestError::IdempotencyKey);
     }
-    let uri = request.uri();
+    let uri = &request.uri;
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     let host = uri.authority().map(hyper::http::uri::Authority::as_str);
     let host = host.or_else(|| head::text(headers, HOST.as_str()));
@@ -77,7 +74,7 @@
     };
     Ok(ParsedRequest {
         host: host.unwrap_or_default().into(),
-        method: request.method().as_str().into(),
+        method: request.method.as_str().into(),
         path: path.into(),
         remaining: remaining.map(|ms| Duration::from_millis(ms.into())),
         depth: depth.unwrap_or(0).min(call::MAX_DEPTH),
--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -1,9 +1,9 @@
 //! HTTP responses for call results and rejected requests.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use pollenrouter_core::call::{Refusal, UnknownReason};
@@ -11,7 +11,9 @@
 use pollenrouter_http::convention::Convention;
 use pollenrouter_http::problem::CallOutcome;
 use pollenrouter_http::{body, head, problem};
+use smol_str::SmolStr;
 
+use crate::head::HeadError;
 use crate::message::{CallerResult, CallerResultKind};
 use crate::request;
 
@@ -24,7 +26,7 @@
     convention: &Convention,
     result: CallerResult,
     had_ticket: bool,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let mut response = match result.kind {
         CallerResultKind::Answer(head, body) => answered(&head, body),
         CallerResultKind::NotRun(refusal) => {
@@ -39,7 +41,7 @@
 }
 
 /// Sets the ticket header of a response.
-pub fn set_ticket(response: &mut Response<Full<Bytes>>, ticket: &id::Ticket) {
+pub fn set_ticket(response: &mut Response<Bytes>, ticket: &id::Ticket) {
     if let Ok(value) = HeaderValue::from_str(&ticket.to_string()) {
         response.headers_mut().insert(problem::TICKET_HEADER, value);
     }
@@ -52,7 +54,7 @@
     refusal: Refusal,
     retry_after: Option<Duration>,
     had_ticket: bool,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let status = match refusal {
         Refusal::NoDocument | Refusal::NoRoute => StatusCode::NOT_FOUND,
         Refusal::NotPublic | Refusal::CallerNotAllowed => StatusCode::FORBIDDEN,
@@ -80,10 +82,7 @@
 /// The response for a request that was rejected by the listener. For a request with a ticket
 /// the outcome becomes unknown, since an earlier attempt with the same ticket may have run.
 #[must_use]
-pub fn rejected(
-    mut response: Response<Full<Bytes>>,
-    ticket: Option<&id::Ticket>,
-) -> Response<Full<Bytes>> {
+pub fn rejected(mut response: Response<Bytes>, ticket: Option<&id::Ticket>) -> Response<Bytes> {
     if let Some(ticket) = ticket {
         let detail = UnknownReason::GateNotAsked.to_string();
         response = problem::response(response.status(), CallOutcome::Unknown, &detail);
@@ -94,14 +93,14 @@
 
 /// The response for a request with an invalid head.
 #[must_use]
-pub fn invalid_head(err: &request::RequestError) -> Response<Full<Bytes>> {
+pub fn invalid_head(err: &request::RequestError) -> Response<Bytes> {
     let status = StatusCode::BAD_REQUEST;
     problem::response(status, CallOutcome::NotRun, &err.to_string())
 }
 
 /// The response for a request whose body could not be read completely.
 #[must_use]
-pub fn body_error(err: &body::BodyError) -> Response<Full<Bytes>> {
+pub fn body_error(err: &body::BodyError) -> Response<Bytes> {
     let status = match err {
         body::BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         body::BodyError::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
@@ -110,7 +109,34 @@
     problem::response(status, CallOutcome::NotRun, &err.to_string())
 }
 
-fn unknown_outcome(doubt: UnknownReason, had_ticket: bool) -> Response<Full<Bytes>> {
+/// The response to bytes that are not a request head.
+#[must_use]
+pub fn head_error(err: &HeadError) -> Response<Bytes> {
+    let status = match err {
+        HeadError::Malformed(_) => StatusCode::BAD_REQUEST,
+        HeadError::TooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+    };
+    problem::response(status, CallOutcome::NotRun, &err.to_string())
+}
+
+/// The response to a request whose head did not arrive in time.
+#[must_use]
+pub fn head_timeout() -> Response<Bytes> {
+    let detail = "the head did not arrive in time";
+    problem::response(StatusCode::REQUEST_TIMEOUT, CallOutcome::NotRun, detail)
+}
+
+/// The response with an issued ticket.
+#[must_use]
+pub fn ticket(ticket: &id::Ticket) -> Response<Bytes> {
+    let text = SmolStr::new(ticket.to_string());
+    let body: BTreeMap<_, _> = [("ticket", text)].into();
+    let mut response = problem::json_response(StatusCode::OK, &body);
+    set_ticket(&mut response, ticket);
+    response
+}
+
+fn unknown_outcome(doubt: UnknownReason, had_ticket: bool) -> Response<Bytes> {
     let status = match doubt {
         UnknownReason::NoReply => StatusCode::GATEWAY_TIMEOUT,
         UnknownReason::GateNotAsked => StatusCode::SERVICE_UNAVAILABLE,
@@ -122,8 +148,8 @@
     problem::response(status, CallOutcome::Unknown, &doubt.to_string())
 }
 
-fn answered(head: &http_message::ResponseHead, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn answered(head: &http_message::ResponseHead, body: Bytes) -> Response<Bytes> {
+    let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     head::add(response.headers_mut(), &head.headers);
     response
--- /dev/null
+++ b/crates/caller/tests/listener/main.rs
@@ -0,0 +1,6 @@
+//! The listener for callers, over connections whose bytes the tests write themselves.
+
+mod bytes_cut;
+mod closing;
+mod pipelining;
+mod support;
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -42,7 +42,11 @@
 
 /// Creates an error response.
 #[must_use]
-pub fn response(status: StatusCode, outcome: CallOutcome, detail: &str) -> Response<Full<Bytes>> {
+pub fn response<B: From<Bytes>>(
+    status: StatusCode,
+    outcome: CallOutcome,
+    detail: &str,
+) -> Response<B> {
     let problem = Problem {
         title: status.canonical_reason().unwrap_or("Error"),
         status: status.as_u16(),
@@ -59,9 +63,9 @@
 
 /// Creates a JSON response.
 #[must_use]
-pub fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
+pub fn json_response<B: From<Bytes>>(status: StatusCode, value: &impl Serialize) -> Response<B> {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(B::from(Bytes::from(body)));
     *response.status_mut() = status;
     let content_type = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -35,13 +35,11 @@
     pub max_head_bytes: usize,
     /// Maximum number of headers in a request.
     pub max_headers: usize,
-    /// Timeout for reading a request head, counted from the end of the previous request.
+    /// Timeout for reading a request head, counted from the end of the previous request. An
+    /// idle connection is closed after the same time.
     pub head_timeout: Duration,
 }
 
-/// Returns the current idle timeout of connections, which can change at run time.
-pub type IdleTimeout = Rc<dyn Fn() -> Duration>;
-
 /// Minimum interval between two checks for the idle timeout of a connection.
 const MIN_IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -71,29 +69,30 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
-    let idle_timeout: IdleTimeout = Rc::new(move || limits.head_timeout);
-    serve_with_idle_timeout(listener, limits, idle_timeout, stop, handler).await
+    let handler = Rc::new(handler);
+    let stopping = stop.clone();
+    let serve_one =
+        move |stream| serve_connection(stream, limits, stopping.clone(), handler.clone());
+    accept(listener, limits.max_connections, stop, serve_one).await
 }
 
-/// Like [`serve`], with an idle timeout that can change at run time.
+/// Accepts connections and serves each with `serve_one`. Returns once `stop` has become true
+/// and all connections have ended. Must run inside a [`task::LocalSet`].
 ///
 /// # Errors
 /// Returns an error if the listener cannot be registered with the runtime.
-pub async fn serve_with_idle_timeout<H, F>(
+pub async fn accept<F>(
     listener: net::TcpListener,
-    limits: Limits,
-    idle_timeout: IdleTimeout,
+    max_connections: usize,
     mut stop: watch::Receiver<bool>,
-    handler: H,
+    serve_one: impl Fn(TcpStream) -> F,
 ) -> std::io::Result<()>
 where
-    H: Fn(Request<Incoming>) -> F + 'static,
-    F: Future<Output = Response<Full<Bytes>>> + 'static,
+    F: Future<Output = ()> + 'static,
 {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
-    let handler = Rc::new(handler);
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let permits = Arc::new(Semaphore::new(max_connections));
     let mut connections = task::JoinSet::new();
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else {
@@ -110,13 +109,7 @@
             },
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let serving = serve_connection(
-            stream,
-            limits,
-            idle_timeout.clone(),
-            stop.clone(),
-            handler.clone(),
-        );
+        let serving = serve_one(stream);
         connections.spawn_local(async move {
             serving.await;
             drop(permit);
@@ -131,7 +124,6 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: Limits,
-    idle_timeout: IdleTimeout,
     mut stop: watch::Receiver<bool>,
     handler: Rc<H>,
 ) where
@@ -158,16 +150,16 @@
         .max_headers(limits.max_headers)
         .serve_connection(TokioIo::new(stream), service);
     let mut stopping = false;
-    let mut check = Box::pin(time::sleep(idle_timeout()));
+    let mut check = Box::pin(time::sleep(limits.head_timeout));
     let result = loop {
         tokio::select! {
             () = &mut check, if !stopping => {
                 let (active, since) = activity.get();
-                if active == 0 && since.elapsed() >= idle_timeout() {
+                if active == 0 && since.elapsed() >= limits.head_timeout {
                     Pin::new(&mut connection).graceful_shutdown();
                     stopping = true;
                 }
-                let due = since + idle_timeout();
+                let due = since + limits.head_timeout;
                 check.as_mut().reset(due.max(time::Instant::now() + MIN_IDLE_CHECK_INTERVAL));
             }
             result = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break result,
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -47,18 +47,22 @@
         let policy = call.route.policy;
         let started_at = self.now();
         let deadline = call.remaining.unwrap_or(policy.deadline);
+        let remaining = policy
+            .timeout
+            .map_or(deadline, |timeout| timeout.min(deadline));
         let request = entry::Request {
             token: call.token,
             service: call.service.clone(),
             route: call.route.name,
             depth: call.depth,
             rank: policy.rank,
-            remaining: policy
-                .timeout
-                .map_or(deadline, |timeout| timeout.min(deadline)),
+            remaining: remaining.saturating_sub(call.waited),
             objective: policy.objective,
             sheddable,
-            stated_remaining: call.remaining.filter(|_| policy.has_uniform_deadline),
+            stated_remaining: call
+                .remaining
+                .filter(|_| policy.has_uniform_deadline)
+                .map(|stated| stated.saturating_sub(call.waited)),
             max_attempts: policy.attempts,
             at_most_once: !policy.repeatable || call.ticket.is_some(),
             fingerprint: routes::fingerprint(&call.head, &call.body),
