Answers without end are bounded, and a late second copy reaches nobody

Targets now repeat pollenrouter-call; a connection whose answer does not show its call is not used again. One deadline now. - Each body could grow to the service's limit, and each small chunk kept the buffer it was read into: 64 answers without end took 914 MB.

Ruled out: a limit per body alone (64 times 16 MiB), acquiring memory bit by bit (two large bodies could block each other until their deadlines).

--- /dev/null
+++ b/crates/dev/src/faulty.rs
@@ -0,0 +1,230 @@
+//! Stand-in for a target that breaks the protocol: silence, answers without end, second copies.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+/// Pause between the bytes of a trickle.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+const BLOCK: [u8; 4096] = [b'y'; 4096];
+
+/// What the target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Answers.
+    None,
+    /// Answers without the id of the call.
+    NoEcho,
+    /// Answers, and sends another copy of the answer in front of the next one.
+    SecondCopy,
+    /// Sends nothing.
+    Silent,
+    /// Sends bytes that are no answer, without end.
+    EndlessGarbage,
+    /// Sends headers without end.
+    EndlessHead,
+    /// Sends one header without end.
+    EndlessHeader,
+    /// Sends interim responses without end.
+    EndlessInterim,
+    /// Sends chunks without end.
+    EndlessChunks,
+    /// Sends chunks of one byte without end.
+    EndlessTinyChunks,
+    /// Sends the extension of a chunk without end.
+    EndlessExtension,
+    /// Sends trailers without end.
+    EndlessTrailers,
+    /// Sends a body without a length and without end.
+    EndlessBody,
+    /// States a length and sends nothing more.
+    MissingBody,
+    /// Sends half of the body and closes the connection.
+    HalfBody,
+    /// Sends the head byte by byte, too slowly.
+    TrickledHead,
+    /// Sends the head after this many milliseconds, and after as many again the body.
+    SlowParts(u64),
+    /// Sends a body byte by byte, too slowly.
+    TrickledBody,
+}
+
+impl Fault {
+    /// All faults whose answers never end.
+    pub const ENDLESS: [Self; 9] = [
+        Self::EndlessGarbage,
+        Self::EndlessHead,
+        Self::EndlessHeader,
+        Self::EndlessInterim,
+        Self::EndlessChunks,
+        Self::EndlessTinyChunks,
+        Self::EndlessExtension,
+        Self::EndlessTrailers,
+        Self::EndlessBody,
+    ];
+    /// All faults that keep a call without its answer.
+    pub const SILENT: [Self; 4] = [
+        Self::Silent,
+        Self::MissingBody,
+        Self::TrickledHead,
+        Self::TrickledBody,
+    ];
+}
+
+/// What the target has seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// A request: the number of its connection, counted from 0, and its head.
+    Request(usize, String),
+    /// The end of a connection.
+    Closed(usize),
+}
+
+/// A target on a port assigned by the system. Its threads end with their connections.
+pub struct Target {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// What it sees, in order.
+    pub seen: Receiver<Seen>,
+}
+
+/// Chooses the fault for a request, by the number of its connection and its head.
+pub type Choose = Arc<dyn Fn(usize, &str) -> Fault + Send + Sync>;
+
+/// Starts a target.
+///
+/// # Errors
+/// The listener cannot be bound.
+pub fn start(choose: Choose) -> io::Result<Target> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let (tx, seen) = mpsc::channel();
+    thread::spawn(move || {
+        for (index, stream) in listener.incoming().flatten().enumerate() {
+            let (tx, choose) = (tx.clone(), choose.clone());
+            thread::spawn(move || {
+                // The daemon closes the connection, which ends every fault.
+                let _ = serve(stream, index, &tx, &choose);
+                let _ = tx.send(Seen::Closed(index));
+            });
+        }
+    });
+    Ok(Target { address, seen })
+}
+
+fn serve(
+    mut stream: TcpStream,
+    index: usize,
+    tx: &Sender<Seen>,
+    choose: &Choose,
+) -> io::Result<()> {
+    let mut copy = Vec::new();
+    while let Some(head) = read_request(&mut stream)? {
+        let fault = choose(index, &head);
+        let id = echoed_headers(&head);
+        // The test may have ended.
+        let _ = tx.send(Seen::Request(index, head));
+        let answer = format!("{HEAD}{id}content-length: 4\r\n\r\ndone").into_bytes();
+        match fault {
+            Fault::None => stream.write_all(&[copy.as_slice(), &answer].concat())?,
+            Fault::SecondCopy => {
+                stream.write_all(&answer)?;
+                copy = answer;
+            }
+            Fault::NoEcho => {
+                stream.write_all(format!("{HEAD}content-length: 4\r\n\r\ndone").as_bytes())?;
+            }
+            Fault::HalfBody => {
+                return stream
+                    .write_all(format!("{HEAD}{id}content-length: 8\r\n\r\ndone").as_bytes());
+            }
+            Fault::SlowParts(ms) => {
+                thread::sleep(Duration::from_millis(ms));
+                stream.write_all(format!("{HEAD}{id}content-length: 4\r\n\r\n").as_bytes())?;
+                thread::sleep(Duration::from_millis(ms));
+                stream.write_all(b"done")?;
+            }
+            _ => return play(&mut stream, fault, &id),
+        }
+    }
+    Ok(())
+}
+
+/// Plays a fault until the connection ends.
+fn play(stream: &mut TcpStream, fault: Fault, id: &str) -> io::Result<()> {
+    let chunked = format!("{HEAD}{id}transfer-encoding: chunked\r\n\r\n");
+    let block = String::from_utf8_lossy(&BLOCK);
+    let (start, repeated) = match fault {
+        Fault::EndlessGarbage => (String::new(), block.to_string()),
+        Fault::EndlessHead => (HEAD.to_owned(), "x: y\r\n".repeat(100)),
+        Fault::EndlessHeader => (format!("{HEAD}x: "), block.to_string()),
+        Fault::EndlessInterim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(100)),
+        Fault::EndlessChunks => (chunked, format!("1000\r\n{block}\r\n")),
+        Fault::EndlessTinyChunks => (chunked, "1\r\ny\r\n".repeat(100)),
+        Fault::EndlessExtension => (format!("{chunked}1;"), block.to_string()),
+        Fault::EndlessTrailers => (format!("{chunked}0\r\n"), "x: y\r\n".repeat(100)),
+        Fault::EndlessBody => (format!("{HEAD}{id}\r\n"), block.to_string()),
+        Fault::MissingBody => (
+            format!("{HEAD}{id}content-length: 10\r\n\r\n"),
+            String::new(),
+        ),
+        Fault::TrickledHead => return trickle(stream, HEAD.as_bytes()),
+        Fault::TrickledBody => {
+            let head = format!("{HEAD}{id}content-length: 100000\r\n\r\n");
+            stream.write_all(head.as_bytes())?;
+            return trickle(stream, &BLOCK);
+        }
+        _ => (String::new(), String::new()),
+    };
+    stream.write_all(start.as_bytes())?;
+    if repeated.is_empty() {
+        // Never answers what comes later on this connection either.
+        return io::copy(stream, &mut io::sink()).map(drop);
+    }
+    loop {
+        stream.write_all(repeated.as_bytes())?;
+    }
+}
+
+fn trickle(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    for byte in bytes.iter().cycle() {
+        stream.write_all(&[*byte])?;
+        thread::sleep(TRICKLE_PAUSE);
+    }
+    Ok(())
+}
+
+/// Reads a request; returns its head, or `None` if the connection has ended.
+fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte)? == 0 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let len = header(&head, "content-length").and_then(|text| text.parse().ok());
+    let mut body = vec![0; len.unwrap_or(0)];
+    stream.read_exact(&mut body)?;
+    Ok(Some(head))
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut headers = head.lines().filter_map(|line| line.split_once(": "));
+    headers
+        .find(|(found, _)| found.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value)
+}
+
+/// The headers by which an answer shows its call, in the default convention and the users'.
+fn echoed_headers(head: &str) -> String {
+    let names = ["pollenrouter-call", "attempt-id"];
+    let found = names.map(|name| header(head, name).map(|value| format!("{name}: {value}\r\n")));
+    found.into_iter().flatten().collect()
+}
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod error;
+pub mod faulty;
 pub mod fleet;
 pub mod histogram;
 pub mod ledger;
--- a/crates/dev/src/target.rs
+++ b/crates/dev/src/target.rs
@@ -236,10 +236,18 @@
                 )
             }
             "/.target/control" => self.set_control(req).await,
-            path => match path.strip_prefix("/.target/cancel/") {
-                Some(call_id) => self.cancel(call_id),
-                None => self.run_call(req).await,
-            },
+            path => {
+                if let Some(call_id) = path.strip_prefix("/.target/cancel/") {
+                    return self.cancel(call_id);
+                }
+                let call_id = req.headers().get(CALL_HEADER).cloned();
+                let mut response = self.run_call(req).await;
+                // Shows the daemon which call the response belongs to.
+                if let Some(call_id) = call_id {
+                    response.headers_mut().insert(CALL_HEADER, call_id);
+                }
+                response
+            }
         }
     }
 
--- a/crates/dev/tests/badinput.rs
+++ b/crates/dev/tests/badinput.rs
@@ -1,6 +1,7 @@
 //! Bad input is rejected with a specific error and does not affect other callers.
 
-use std::fs;
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{TcpStream, UdpSocket};
 use std::path::Path;
@@ -128,26 +129,12 @@
     response
 }
 
-fn resident_kib(deployment: &Deployment) -> u64 {
-    let daemon = deployment.hosts[0]
-        .daemon
-        .as_ref()
-        .expect("daemon must be running");
-    let status = fs::read_to_string(format!("/proc/{}/status", daemon.pid()));
-    let status = status.expect("daemon must be running");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let number = line.and_then(|line| line.split_whitespace().nth(1));
-    number
-        .and_then(|n| n.parse().ok())
-        .expect("VmRSS must be a number")
-}
-
 #[test]
 fn bad_input_is_rejected_without_affecting_other_callers() {
     let deployment = Deployment::start(&plan()).expect("deployment must start");
     let valid_request = "GET /board/refresh HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     assert!(exchange(&deployment, valid_request).starts_with("HTTP/1.1 200"));
-    let before = resident_kib(&deployment);
+    let before = support::memory_kib(&deployment, 0, "VmRSS:");
 
     for case in &CASES {
         let response = exchange(&deployment, case.request);
@@ -176,7 +163,7 @@
             .expect("datagram must be sent");
     }
     assert!(exchange(&deployment, valid_request).starts_with("HTTP/1.1 200"));
-    let after = resident_kib(&deployment);
+    let after = support::memory_kib(&deployment, 0, "VmRSS:");
     assert!(
         after < before + MEMORY_GROWTH_MAX_KIB,
         "resident memory grew from {before} KiB to {after} KiB"
--- a/crates/dev/tests/support/mod.rs
+++ b/crates/dev/tests/support/mod.rs
@@ -140,6 +140,19 @@
     thread::sleep(Duration::from_millis(300));
 }
 
+/// Memory of the daemon of a host, KiB, as a field of `/proc/PID/status` states it.
+pub fn memory_kib(deployment: &Deployment, host: usize, field: &str) -> u64 {
+    let daemon = deployment.hosts[host].daemon.as_ref();
+    let daemon = daemon.expect("daemon must be running");
+    let status = fs::read_to_string(format!("/proc/{}/status", daemon.pid()));
+    let status = status.expect("daemon must be running");
+    let line = status.lines().find(|line| line.starts_with(field));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number
+        .and_then(|n| n.parse().ok())
+        .expect("memory must be a number")
+}
+
 /// Output of the `audit` command for a service.
 pub fn audit_trail(deployment: &Deployment, service: &str) -> String {
     let program = deployment::binary_path("pollenrouter").expect("product must be built");
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -16,6 +16,8 @@
 use tokio::{task, time};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of a response head, and of the bytes that are read ahead of a body.
+const HEAD_MAX_BYTES: usize = 32 << 10;
 /// Connections that have been idle for longer are discarded. The limit is below the keep-alive
 /// timeout of common servers, which is 5 s or more.
 pub const IDLE_MAX: Duration = Duration::from_secs(4);
@@ -125,7 +127,9 @@
             .map_err(|err| connect_error(&err))?;
         // Nagle's algorithm delays small requests until previous data is acknowledged.
         let _ = stream.set_nodelay(true);
-        let (connection, driver) = http1::handshake(TokioIo::new(stream))
+        let (connection, driver) = http1::Builder::new()
+            .max_buf_size(HEAD_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| connect_error(&err))?;
         task::spawn_local(async move {
--- a/crates/http/src/convention.rs
+++ b/crates/http/src/convention.rs
@@ -4,6 +4,16 @@
 /// percent of the usual duration.
 pub type ParseSlowness = fn(&str) -> Option<u32>;
 
+/// Header of a request that its response repeats.
+#[derive(Clone, Copy, Debug)]
+pub struct Echo {
+    /// Name of the header.
+    pub header: &'static str,
+    /// Whether a response without it is not accepted. If false, the connection that such a
+    /// response came on is not used again.
+    pub is_required: bool,
+}
+
 /// Header names, paths and protocol options used with callers and targets.
 #[expect(
     clippy::struct_excessive_bools,
@@ -30,8 +40,8 @@
     pub wrong_target_status: Option<u16>,
     /// Request header with the caller's request id, for logs.
     pub request_id_header: &'static str,
-    /// Request header that the response has to repeat.
-    pub echo_header: Option<&'static str>,
+    /// Header by which a response shows which request it belongs to.
+    pub echo: Option<Echo>,
     /// Header that every successful response of a target has; without it the response
     /// does not come from the target.
     pub signature_header: Option<&'static str>,
@@ -61,7 +71,10 @@
     not_run_header: "target-shed",
     wrong_target_status: None,
     request_id_header: "x-request-id",
-    echo_header: None,
+    echo: Some(Echo {
+        header: "pollenrouter-call",
+        is_required: false,
+    }),
     signature_header: None,
     load_header: None,
     cancels_by_request: true,
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use log::warn;
 use pollenrouter_core::call::Refusal;
 use pollenrouter_core::{gate, http_message, id};
@@ -35,6 +35,8 @@
 /// Short because calls wait for the target's load; a target on the same host reports it
 /// within a few milliseconds.
 const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(30);
+/// Memory for answers larger than [`body::SMALL_MAX_BYTES`] while they are read.
+const LARGE_ANSWERS_BYTES: u64 = 16 << 20;
 const CANCEL_PATH: &str = "/.target/cancel/";
 /// Maximum idle time of a connection that is reused for a call that may run at most once.
 /// The target may have closed a connection that was idle for longer, and the call would be
@@ -55,6 +57,7 @@
     convention: Convention,
     /// How long to wait for an answer after the call's deadline.
     answer_wait: Duration,
+    large_answers: Rc<body::Memory>,
     sink: Sink,
 }
 
@@ -68,6 +71,7 @@
             cancellations: Rc::default(),
             convention,
             answer_wait,
+            large_answers: Rc::new(body::Memory::new(LARGE_ANSWERS_BYTES)),
             sink,
         }
     }
@@ -138,13 +142,15 @@
             return Err(gate::Outcome::NotStarted(Refusal::Late));
         }
         let request = self.build_request(client.address(), &call, remaining)?;
-        let timeout = remaining + self.answer_wait;
+        let sent_id = self.echoed(request.headers());
+        // The deadline holds for the whole answer, however slowly its bytes arrive.
+        let deadline = time::Instant::now() + remaining + self.answer_wait;
         let idle_max = if call.at_most_once {
             AT_MOST_ONCE_IDLE_MAX
         } else {
             client::IDLE_MAX
         };
-        let sent = time::timeout(timeout, client.send(request, idle_max)).await;
+        let sent = time::timeout_at(deadline, client.send(request, idle_max)).await;
         let (response, connection) = match sent {
             Ok(Ok(sent)) => sent,
             Ok(Err(client::ClientError::Connect(..))) => {
@@ -156,7 +162,8 @@
             }
         };
         let (parts, body) = response.into_parts();
-        let body = body::read(body, call.answer_max_bytes, timeout)
+        let max_bytes = call.answer_max_bytes;
+        let body = body::read_until(body, max_bytes, deadline, &self.large_answers)
             .await
             .map_err(|err| self.log_lost(&call, &err.to_string()))?;
         let head = http_message::ResponseHead {
@@ -164,38 +171,43 @@
             headers: head::end_to_end(&parts.headers),
         };
         self.report_load(&head).await;
-        self.verify(&call, &head)?;
-        connection.return_to_pool();
+        let is_reusable = self.verify(&call, sent_id.as_ref(), &parts)?;
+        if is_reusable {
+            connection.return_to_pool();
+        }
         if self.was_not_run(&head) {
             return Err(gate::Outcome::NotStarted(Refusal::Shed));
         }
         Ok((self.without_load(head), body))
     }
 
-    /// Checks that an answer comes from the target and belongs to this request. If it does
-    /// not, the connection must not be reused: the bytes on it match no request.
+    /// The header by which an answer shows which request it belongs to.
+    fn echoed(&self, headers: &HeaderMap) -> Option<HeaderValue> {
+        headers.get(self.convention.echo?.header).cloned()
+    }
+
+    /// Checks that an answer comes from the target and belongs to this request; returns whether
+    /// it shows so. If it does not, the connection must not be reused: the next answer on it
+    /// could be a second copy of this one, or of one before.
     fn verify(
         &self,
         call: &OutboundCall,
-        head: &http_message::ResponseHead,
-    ) -> Result<(), gate::Outcome> {
-        let value = |headers: &[http_message::Header], name| {
-            let found = headers.iter().find(|(n, _)| n == name);
-            found.map(|(_, value)| value.clone())
-        };
-        if let Some(name) = self.convention.echo_header
-            && value(&call.head.headers, name) != value(&head.headers, name)
-        {
+        sent_id: Option<&HeaderValue>,
+        answer: &Parts,
+    ) -> Result<bool, gate::Outcome> {
+        let answered_id = self.echoed(&answer.headers);
+        let is_required = self.convention.echo.is_some_and(|echo| echo.is_required);
+        let is_own = answered_id.as_ref() == sent_id;
+        if !is_own && (is_required || answered_id.is_some()) {
             return Err(self.log_lost(call, "the answer belongs to another request"));
         }
-        let success = (200..300).contains(&head.status);
         if let Some(name) = self.convention.signature_header
-            && success
-            && value(&head.headers, name).is_none()
+            && answer.status.is_success()
+            && !answer.headers.contains_key(name)
         {
             return Err(self.log_lost(call, "the answer has no signature"));
         }
-        Ok(())
+        Ok(is_own && answered_id.is_some())
     }
 
     /// Logs why a call was lost, and returns [`gate::Outcome::Lost`].
@@ -296,17 +308,19 @@
             .header(HOST, client.address().to_string())
             .header(PROBE_HEADER, "1")
             .body(Full::new(Bytes::new()));
-        let sent = time::timeout(timeout, client.send(request.ok()?, client::IDLE_MAX)).await;
-        let (response, connection) = sent.ok()?.ok()?;
-        let (parts, body) = response.into_parts();
-        // Only a connection with nothing left to read can be reused.
-        if body::read(body, PROBE_BODY_MAX_BYTES, timeout)
-            .await
-            .is_ok()
-        {
-            connection.return_to_pool();
-        }
-        Some(parts)
+        let exchange = async {
+            let sent = client.send(request.ok()?, client::IDLE_MAX).await;
+            let (response, connection) = sent.ok()?;
+            let (parts, body) = response.into_parts();
+            let body = body::read(body, PROBE_BODY_MAX_BYTES, timeout).await;
+            // A connection can be reused only if nothing is left to read and the response is not
+            // the answer to a call.
+            if body.is_ok() && self.echoed(&parts.headers).is_none() {
+                connection.return_to_pool();
+            }
+            Some(parts)
+        };
+        time::timeout(timeout, exchange).await.ok()?
     }
 
     fn build_request(
@@ -350,7 +364,7 @@
     }
 }
 
-fn set_header(headers: &mut hyper::HeaderMap, name: Option<&'static str>, value: &str) {
+fn set_header(headers: &mut HeaderMap, name: Option<&'static str>, value: &str) {
     if let (Some(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
         headers.insert(HeaderName::from_static(name), value);
     }
--- /dev/null
+++ b/crates/target/tests/faulty.rs
@@ -0,0 +1,246 @@
+//! Calls to a target that breaks the protocol end as lost, in time, and do no harm to others.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use pollenrouter_core::{gate, http_message, id};
+use pollenrouter_dev::faulty::{self, Fault, Seen, Target};
+use pollenrouter_http::convention;
+use pollenrouter_target::message::{Command, Event, OutboundCall};
+use pollenrouter_target::sender;
+use tokio::{runtime, task, time};
+
+/// Far longer than anything that a test waits for.
+const TIMEOUT: Duration = Duration::from_secs(30);
+const DEADLINE: Duration = Duration::from_millis(300);
+const ANSWER_WAIT: Duration = Duration::from_millis(50);
+const ANSWER_MAX_BYTES: u64 = 16 << 20;
+
+/// Sends commands to a target from a thread of its own.
+struct Client {
+    commands: tokio::sync::mpsc::UnboundedSender<Command>,
+    events: mpsc::Receiver<Event>,
+    next_seq: u64,
+}
+
+impl Client {
+    fn start(target: &Target) -> Self {
+        let (commands, mut received) = tokio::sync::mpsc::unbounded_channel::<Command>();
+        let (tx, events) = mpsc::channel();
+        thread::spawn(move || {
+            let runtime = runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.expect("runtime must start");
+            let sink: sender::Sink = Rc::new(move |event| {
+                // The test may have ended.
+                let _ = tx.send(event);
+                Ok(())
+            });
+            task::LocalSet::new().block_on(&runtime, async move {
+                let sender = sender::Sender::new(convention::OWN, ANSWER_WAIT, sink);
+                while let Some(command) = received.recv().await {
+                    sender.execute(command);
+                }
+                // Lets the commands end.
+                time::sleep(DEADLINE + ANSWER_WAIT).await;
+            });
+        });
+        let client = Self {
+            commands,
+            events,
+            next_seq: 0,
+        };
+        client.execute(Command::SetAddress(target.address));
+        client
+    }
+
+    fn execute(&self, command: Command) {
+        self.commands.send(command).expect("client must run");
+    }
+
+    fn send(&mut self, path: &str) -> id::CallId {
+        self.next_seq += 1;
+        let id = id::CallId {
+            entry: 1,
+            seq: self.next_seq,
+            nonce: 7,
+        };
+        self.execute(Command::Send(OutboundCall {
+            id,
+            head: http_message::RequestHead {
+                method: "GET".into(),
+                host: None,
+                path: path.into(),
+                headers: Vec::new(),
+            },
+            body: Bytes::new(),
+            target: "".into(),
+            at_most_once: false,
+            deadline: Instant::now() + DEADLINE,
+            depth: 0,
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        }));
+        id
+    }
+
+    fn event(&self) -> Event {
+        self.events
+            .recv_timeout(TIMEOUT)
+            .expect("client must report an event")
+    }
+
+    /// The outcome of the next call that ends.
+    fn finished(&self) -> (id::CallId, gate::Outcome) {
+        loop {
+            if let Event::CallFinished(id, outcome, _) = self.event() {
+                return (id, outcome);
+            }
+        }
+    }
+
+    /// Sends a call and returns its outcome.
+    fn call(&mut self, path: &str) -> gate::Outcome {
+        let sent = self.send(path);
+        let (id, outcome) = self.finished();
+        assert_eq!(id, sent);
+        outcome
+    }
+}
+
+fn is_answered(outcome: &gate::Outcome) -> bool {
+    matches!(outcome, gate::Outcome::Answered { failed: false, .. })
+}
+
+/// A target that plays a fault for each path `/fault`, and answers others.
+fn target(fault: Fault) -> Target {
+    let choose = move |_: usize, head: &str| {
+        if head.starts_with("GET /fault") {
+            fault
+        } else {
+            Fault::None
+        }
+    };
+    faulty::start(Arc::new(choose)).expect("target must start")
+}
+
+/// Waits until the target has seen the end of a connection; returns the connections of all
+/// requests until then by path.
+fn wait_for_close(target: &Target, connection: usize) {
+    loop {
+        let seen = target.seen.recv_timeout(TIMEOUT);
+        if seen.expect("connection must be closed") == Seen::Closed(connection) {
+            return;
+        }
+    }
+}
+
+/// The connection of the next request for `path`.
+fn connection_of(target: &Target, path: &str) -> usize {
+    loop {
+        let seen = target.seen.recv_timeout(TIMEOUT);
+        if let Seen::Request(connection, head) = seen.expect("request must arrive")
+            && head.contains(&format!(" {path} "))
+        {
+            return connection;
+        }
+    }
+}
+
+#[test]
+fn a_call_without_an_answer_is_lost_and_its_connection_closed() {
+    for fault in Fault::ENDLESS.into_iter().chain(Fault::SILENT) {
+        let target = target(fault);
+        let mut client = Client::start(&target);
+        // The fault comes on a connection that was in use before.
+        assert!(is_answered(&client.call("/good")), "{fault:?}");
+        let outcome = client.call("/fault");
+        assert_eq!(outcome, gate::Outcome::Lost, "{fault:?}");
+        let connection = connection_of(&target, "/fault");
+        assert_eq!(connection, 0, "{fault:?}");
+        wait_for_close(&target, connection);
+        assert!(is_answered(&client.call("/good")), "{fault:?}");
+        assert_ne!(connection_of(&target, "/good"), connection, "{fault:?}");
+    }
+}
+
+#[test]
+fn calls_on_other_connections_are_not_affected() {
+    for fault in Fault::ENDLESS.into_iter().chain(Fault::SILENT) {
+        let target = target(fault);
+        let mut client = Client::start(&target);
+        let good = client.send("/good");
+        let bad: Vec<_> = (0..8).map(|_| client.send("/fault")).collect();
+        let other = client.send("/good");
+        let finished: HashMap<_, _> = (0..10).map(|_| client.finished()).collect();
+        for id in [good, other] {
+            assert!(is_answered(&finished[&id]), "{fault:?}");
+        }
+        for id in bad {
+            assert_eq!(finished[&id], gate::Outcome::Lost, "{fault:?}");
+        }
+    }
+}
+
+/// The head and the body of an answer share one deadline.
+#[test]
+fn a_slow_body_does_not_extend_the_deadline() {
+    let deadline_ms = u64::try_from((DEADLINE + ANSWER_WAIT).as_millis());
+    let part_ms = deadline_ms.expect("deadline must be short") * 3 / 4;
+    let target = target(Fault::SlowParts(part_ms));
+    let mut client = Client::start(&target);
+    assert_eq!(client.call("/fault"), gate::Outcome::Lost);
+}
+
+#[test]
+fn a_body_that_breaks_off_is_no_answer() {
+    let target = target(Fault::HalfBody);
+    let mut client = Client::start(&target);
+    assert_eq!(client.call("/fault"), gate::Outcome::Lost);
+}
+
+/// The late second copy of an answer reaches nobody.
+#[test]
+fn a_second_copy_of_an_answer_is_not_taken_for_the_next_one() {
+    let target = target(Fault::SecondCopy);
+    let mut client = Client::start(&target);
+    assert!(is_answered(&client.call("/fault")));
+    // The copy arrives on the connection of this call.
+    let outcome = client.call("/good");
+    assert_eq!(connection_of(&target, "/good"), 0);
+    assert_eq!(outcome, gate::Outcome::Lost);
+    assert!(is_answered(&client.call("/good")));
+    assert_ne!(connection_of(&target, "/good"), 0);
+}
+
+/// Without the id of its call, an answer could be a copy of the one before, so each comes on a
+/// connection of its own.
+#[test]
+fn a_connection_with_answers_without_id_is_not_reused() {
+    let target = target(Fault::NoEcho);
+    let mut client = Client::start(&target);
+    for connection in 0..3 {
+        assert!(is_answered(&client.call("/fault")));
+        assert_eq!(connection_of(&target, "/fault"), connection);
+    }
+}
+
+/// A question that gets no reply says so, and its connection is not used for calls.
+#[test]
+fn a_question_on_a_silent_connection_ends() {
+    let choose = |connection: usize, _: &str| {
+        if connection == 0 {
+            Fault::Silent
+        } else {
+            Fault::None
+        }
+    };
+    let target = faulty::start(Arc::new(choose)).expect("target must start");
+    let mut client = Client::start(&target);
+    client.execute(Command::QueryLoad);
+    assert!(matches!(client.event(), Event::LoadUnavailable));
+    wait_for_close(&target, 0);
+    assert!(is_answered(&client.call("/good")));
+}
