Responses of the platform are bounded in size; lost calls free their slots

Cause: the client of the platform read heads of up to 64 KiB and bodies of up to 10 MB; a page has 1 MiB. Now 16 KiB and 4 MiB. The second test shows that slots of calls that a target never answers are used again; it held before too.

Ruled out: that slots stay taken (seen in a process test of mine): there the default answer_wait of 60 s was still running, as documented; the platform's settings say 200 ms.

--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -246,3 +246,38 @@
         ..offer(seq, false)
     }
 }
+
+/// Calls that a target never answers free their slots when they are given up, and the calls that
+/// wait for these slots start.
+#[test]
+fn the_slots_of_lost_calls_are_used_again() {
+    let mut gate = gate();
+    let mut seq = 0;
+    for _ in 0..10 {
+        let offered = (0..SLOTS).map(|_| {
+            seq += 1;
+            Input::Offer(offer(seq, false))
+        });
+        let outputs: Vec<_> = offered
+            .flat_map(|offered| gate.step(Duration::ZERO, offered))
+            .collect();
+        let started: Vec<_> = outputs
+            .into_iter()
+            .filter_map(|output| match output {
+                Output::Start { id, .. } => Some(id),
+                _ => None,
+            })
+            .collect();
+        assert!(!started.is_empty());
+        let mut left = started;
+        while let Some(id) = left.pop() {
+            let outputs = gate.step(WORK, Input::Finished(id, Outcome::Lost));
+            left.extend(outputs.into_iter().filter_map(|output| match output {
+                Output::Start { id, .. } => Some(id),
+                _ => None,
+            }));
+        }
+        let hint = gate.hint(WORK);
+        assert_eq!((hint.running, hint.waiting), (0, 0));
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -15,6 +15,10 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long the platform holds a watch request open while there are no changes.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Maximum size of a response's body; a page or an object has about 1 MiB.
+const BODY_MAX_BYTES: u64 = 4 << 20;
+/// Maximum size of a response's head.
+const HEAD_MAX_BYTES: usize = 16 << 10;
 const OK: u16 = 200;
 const CREATED: u16 = 201;
 const NOT_FOUND: u16 = 404;
@@ -79,6 +83,7 @@
             .http_status_as_error(false)
             .timeout_connect(Some(REQUEST_TIMEOUT))
             .max_idle_connections(4)
+            .max_response_header_size(HEAD_MAX_BYTES)
             .build();
         Self {
             base_url: base_url.trim_end_matches('/').into(),
@@ -236,7 +241,8 @@
         };
         let mut response = response.map_err(|err| unavailable(&err))?;
         let status = response.status().as_u16();
-        let text = response.body_mut().read_to_string();
+        let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
+        let text = body.read_to_string();
         Ok((status, text.map_err(|err| unavailable(&err))?))
     }
 
