Deadlines hold for a process that was paused and a machine that was suspended

Cause: two gaps. And deadlines went by the steady clock, which does not count a suspension of the machine, so neither the pause was seen nor the last check before the write to the target. Now the boot clock.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod clock;
 pub mod convention;
 pub mod head;
 pub mod problem;
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -5,7 +5,7 @@
 mod outputs;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use pollenrouter_caller::message::{Call, CallerResult};
@@ -13,6 +13,7 @@
 use pollenrouter_core::entry::{self, Sent};
 use pollenrouter_core::{gate, http_message, id, pause, service};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
+use pollenrouter_http::clock::Clock;
 use pollenrouter_target::message as target;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
@@ -64,8 +65,9 @@
 /// Calls in progress at one daemon.
 pub struct Calls {
     host: id::HostName,
-    /// Start of the clock that [`Calls::now`] reads.
-    clock_start: Instant,
+    clock: Clock,
+    /// When the time of [`Calls::now`] began.
+    clock_start: Duration,
     entry: entry::Entry,
     gate: gate::Gate,
     inputs: VecDeque<Input>,
@@ -98,6 +100,8 @@
     pub request_id_header: &'static str,
     /// Whether targets report their load on request.
     pub targets_report_load: bool,
+    /// Clock that deadlines go by.
+    pub clock: Clock,
 }
 
 /// A call with the retry and overload policy of its service.
@@ -130,7 +134,8 @@
         };
         Self {
             host: config.host,
-            clock_start: Instant::now(),
+            clock: config.clock,
+            clock_start: (config.clock)(),
             entry: entry::Entry::new(incarnation).with_failure_domain(config.failure_domain),
             gate,
             inputs: VecDeque::new(),
@@ -151,7 +156,7 @@
 
     /// Returns the time since creation, which is the clock of the entry and the gate.
     pub fn now(&self) -> Duration {
-        self.clock_start.elapsed()
+        (self.clock)().saturating_sub(self.clock_start)
     }
 
     /// Returns the entry.
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -56,7 +56,8 @@
             route: call.route.name,
             depth: call.depth,
             rank: policy.rank,
-            remaining: remaining.saturating_sub(call.waited),
+            // The request may have been in a buffer while the process was paused.
+            remaining: remaining.saturating_sub(call.waited + self.pauses.extra_age(started_at)),
             objective: policy.objective,
             sheddable,
             stated_remaining: call
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -12,6 +12,7 @@
 use pollenrouter_caller::listener as callers;
 use pollenrouter_core::{id, membership, service, table};
 use pollenrouter_daemon::{keys, message as daemon, protocol, tls};
+use pollenrouter_http::clock;
 use pollenrouter_http::convention::Convention;
 use pollenrouter_operator::{listener as operators, settings};
 use pollenrouter_platform::client::Client;
@@ -134,6 +135,7 @@
         announcement_ttl: settings.announce_period * MISSED_ANNOUNCEMENTS_MAX,
         request_id_header: profile.convention.request_id_header,
         targets_report_load: profile.convention.load_header.is_some(),
+        clock: clock::boot_time,
     };
     let calls = Calls::new(calls_config, incarnation, channels, instruments);
     let (convention, parse_announcement) = (profile.convention, profile.parse_announcement);
@@ -271,6 +273,7 @@
     let event_tx = tx.clone();
     let sender = sender::Sender::new(
         convention,
+        clock::boot_time,
         answer_wait,
         Rc::new(move |event| {
             event_tx
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -1,7 +1,7 @@
 //! Commands to the client of the target, and events that it reports to its embedder.
 
 use std::net;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use pollenrouter_core::{gate, http_message, id};
@@ -20,8 +20,8 @@
     pub target: id::TargetName,
     /// Whether the call may run at most once.
     pub at_most_once: bool,
-    /// When the call must be answered.
-    pub deadline: Instant,
+    /// When the call must be answered, by the clock of the sender.
+    pub deadline: Duration,
     /// Depth that the target should state in the calls that it makes itself.
     pub depth: u8,
     /// Maximum size of the answer's body, bytes.
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -14,6 +14,7 @@
 use log::warn;
 use pollenrouter_core::call::Refusal;
 use pollenrouter_core::{gate, http_message, id};
+use pollenrouter_http::clock::Clock;
 use pollenrouter_http::convention::Convention;
 use pollenrouter_http::{body, client, head};
 use tokio::sync::Notify;
@@ -55,6 +56,7 @@
     /// Cancellation signals of the calls in flight.
     cancellations: Rc<RefCell<HashMap<id::CallId, Rc<Notify>>>>,
     convention: Convention,
+    clock: Clock,
     /// How long to wait for an answer after the call's deadline.
     answer_wait: Duration,
     large_answers: Rc<body::Memory>,
@@ -63,13 +65,14 @@
 
 impl Sender {
     /// Creates a sender that has no target yet. It waits for the answer to a call until
-    /// `answer_wait` after the call's deadline.
+    /// `answer_wait` after the call's deadline. Deadlines go by `clock`.
     #[must_use]
-    pub fn new(convention: Convention, answer_wait: Duration, sink: Sink) -> Self {
+    pub fn new(convention: Convention, clock: Clock, answer_wait: Duration, sink: Sink) -> Self {
         Self {
             client: Rc::default(),
             cancellations: Rc::default(),
             convention,
+            clock,
             answer_wait,
             large_answers: Rc::new(body::Memory::new(LARGE_ANSWERS_BYTES)),
             sink,
@@ -137,7 +140,7 @@
         let client = client.ok_or(gate::Outcome::NotStarted(Refusal::NoTarget))?;
         // Checked immediately before the write, because the process may have been paused
         // since the call was started.
-        let remaining = call.deadline.saturating_duration_since(Instant::now());
+        let remaining = call.deadline.saturating_sub((self.clock)());
         if remaining.is_zero() {
             return Err(gate::Outcome::NotStarted(Refusal::Late));
         }
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::sync::{Arc, mpsc};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use pollenrouter_core::call::Refusal;
 use pollenrouter_core::{gate, http_message, id};
 use pollenrouter_dev::faulty::{self, Fault, Seen, Target};
-use pollenrouter_http::convention;
+use pollenrouter_http::{clock, convention};
 use pollenrouter_target::message::{Command, Event, OutboundCall};
 use pollenrouter_target::sender;
 use tokio::{runtime, task, time};
@@ -29,6 +30,10 @@
 
 impl Client {
     fn start(target: &Target) -> Self {
+        Self::start_with_clock(target, clock::boot_time)
+    }
+
+    fn start_with_clock(target: &Target, clock: clock::Clock) -> Self {
         let (commands, mut received) = tokio::sync::mpsc::unbounded_channel::<Command>();
         let (tx, events) = mpsc::channel();
         thread::spawn(move || {
@@ -40,7 +45,7 @@
                 Ok(())
             });
             task::LocalSet::new().block_on(&runtime, async move {
-                let sender = sender::Sender::new(convention::OWN, ANSWER_WAIT, sink);
+                let sender = sender::Sender::new(convention::OWN, clock, ANSWER_WAIT, sink);
                 while let Some(command) = received.recv().await {
                     sender.execute(command);
                 }
@@ -79,7 +84,7 @@
             body: Bytes::new(),
             target: "".into(),
             at_most_once: false,
-            deadline: Instant::now() + DEADLINE,
+            deadline: clock::boot_time() + DEADLINE,
             depth: 0,
             answer_max_bytes: ANSWER_MAX_BYTES,
         }));
@@ -244,3 +249,18 @@
     wait_for_close(&target, 0);
     assert!(is_answered(&client.call("/good")));
 }
+
+/// A clock that shows that the machine was suspended beyond the deadlines of all calls.
+fn after_suspension() -> Duration {
+    clock::boot_time() + DEADLINE
+}
+
+/// The steady clock does not count the time of a suspension.
+#[test]
+fn a_call_whose_deadline_passed_during_a_suspension_is_not_sent() {
+    let target = target(Fault::None);
+    let mut client = Client::start_with_clock(&target, after_suspension);
+    let outcome = client.call("/good");
+    assert_eq!(outcome, gate::Outcome::NotStarted(Refusal::Late));
+    assert!(target.seen.try_recv().is_err());
+}
