A call waits for a slow target also at its last gate

Cause: a call that every gate had refused because its target was slow was started at once at the first of them. A target works at the speed of the start to the end (seven times as long on the further sites), so such a start holds its slot long after the target has recovered, ends late or at the route's time-out, and at the crest takes capacity from others. Now it waits for the target to recover, and starts if the target stays slow for 600 ms; a call that gives way is refused once it cannot meet its objective.

The test case that demanded the start at once is replaced by four: starts upon recovery and not before it, starts when the target stays slow, at once when it has long been slow, gives way.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -20,7 +20,8 @@
     /// Queue the call until the target recovers, as long as it can still be answered in
     /// time.
     Wait,
-    /// Start the call regardless.
+    /// Queue the call until the target recovers, and start it if the target stays slow: no
+    /// other gate takes it.
     #[default]
     Start,
 }
--- a/crates/core/src/gate/dispatch.rs
+++ b/crates/core/src/gate/dispatch.rs
@@ -73,8 +73,11 @@
         speed: speed::Speed,
         out: &mut Vec<Output>,
     ) {
-        let may_start =
-            |w: &queue::WaitingCall| w.when_slow == WhenSlow::Start || speed.allows_start(w.mean);
+        // A call that starts slowly holds its slot for the whole time, also after the target has
+        // recovered.
+        let may_start = |w: &queue::WaitingCall| {
+            speed.allows_start(w.mean) || w.when_slow == WhenSlow::Start && speed.is_persistent
+        };
         while let Some(index) = queue::next_to_start(&self.waiting, self.slots(now), now, may_start)
         {
             let w = self.waiting.remove(index);
--- a/crates/core/tests/target_speed.rs
+++ b/crates/core/tests/target_speed.rs
@@ -32,6 +32,7 @@
 const REPORT_DELAY: Duration = Duration::from_millis(1);
 
 struct LoadCase {
+    when_slow: WhenSlow,
     arrival_interval: Duration,
     /// Least number of further answers in time if the gate requests load reports, in
     /// percent of the calls that a gate without requests answers late or not at all.
@@ -47,12 +48,15 @@
 const FULL: Duration = Duration::from_micros(6250);
 
 #[rstest]
-#[case::third(LoadCase { arrival_interval: THIRD, gain_percent: 50 })]
-#[case::half(LoadCase { arrival_interval: HALF, gain_percent: 50 })]
-#[case::full(LoadCase { arrival_interval: FULL, gain_percent: 0 })]
+#[case::third(LoadCase { when_slow: WhenSlow::Wait, arrival_interval: THIRD, gain_percent: 50 })]
+#[case::half(LoadCase { when_slow: WhenSlow::Wait, arrival_interval: HALF, gain_percent: 50 })]
+#[case::full(LoadCase { when_slow: WhenSlow::Wait, arrival_interval: FULL, gain_percent: 0 })]
+#[case::last_third(LoadCase { when_slow: WhenSlow::Start, arrival_interval: THIRD, gain_percent: 50 })]
+#[case::last_half(LoadCase { when_slow: WhenSlow::Start, arrival_interval: HALF, gain_percent: 50 })]
+#[case::last_full(LoadCase { when_slow: WhenSlow::Start, arrival_interval: FULL, gain_percent: 0 })]
 fn load_requests_gain_answers_in_time(#[case] case: LoadCase) {
-    let without_requests = simulate(false, case.arrival_interval);
-    let with_requests = simulate(true, case.arrival_interval);
+    let without_requests = simulate(false, &case);
+    let with_requests = simulate(true, &case);
     let missed = CALLS - without_requests;
     assert!(
         with_requests >= without_requests + missed * case.gain_percent / 100,
@@ -60,9 +64,9 @@
     );
 }
 
-/// Simulates the load at one gate, with calls that wait for a slow target to recover.
-/// Returns the number of answers in time.
-fn simulate(requests_load: bool, arrival_interval: Duration) -> u64 {
+/// Simulates the load at one gate. Returns the number of answers in time.
+fn simulate(requests_load: bool, case: &LoadCase) -> u64 {
+    let arrival_interval = case.arrival_interval;
     let mut rng = StdRng::seed_from_u64(SEED);
     let mut gate = gate(requests_load);
     let (mut in_time, mut offered) = (0, 0_u64);
@@ -87,7 +91,7 @@
         if offered < CALLS && now >= arrival_interval * u32::try_from(offered).unwrap_or(0) {
             offered += 1;
             arrived.insert(offered, now);
-            inputs.push(Input::Offer(offer(offered, WhenSlow::Wait)));
+            inputs.push(Input::Offer(offer(offered, case.when_slow)));
         }
         for output in inputs.into_iter().flat_map(|input| gate.step(now, input)) {
             match output {
@@ -118,6 +122,7 @@
 /// One call offered to a gate whose target has reported that it is slow.
 struct Case {
     when_slow: WhenSlow,
+    sheddable: bool,
     /// How long the target has been slow.
     slow_for: Duration,
     /// Service time at the normal speed.
@@ -129,40 +134,59 @@
 
 #[derive(Debug, PartialEq, Eq)]
 enum Expected {
-    StartsWithin(Duration),
-    RefusedWithin(Duration),
+    /// Starts at the earliest and at the latest after these times.
+    Starts(Duration, Duration),
+    Refused(Refusal, Duration),
 }
 
 const WAITS_FOR_RECOVERY: Case = Case {
     when_slow: WhenSlow::Wait,
+    sheddable: true,
     slow_for: Duration::ZERO,
     work: WORK,
     recovers_after: Some(Duration::from_millis(60)),
-    expected: Expected::StartsWithin(Duration::from_millis(100)),
+    expected: Expected::Starts(Duration::from_millis(60), Duration::from_millis(100)),
 };
 const NO_RECOVERY: Case = Case {
     recovers_after: None,
-    expected: Expected::RefusedWithin(OBJECTIVE),
+    expected: Expected::Refused(Refusal::TargetSlow, OBJECTIVE),
     ..WAITS_FOR_RECOVERY
 };
 const REFUSED_FOR_OTHER_GATE: Case = Case {
     when_slow: WhenSlow::Refuse,
-    expected: Expected::RefusedWithin(Duration::ZERO),
+    expected: Expected::Refused(Refusal::TargetSlow, Duration::ZERO),
     ..WAITS_FOR_RECOVERY
 };
-const STARTS_DESPITE_SLOWNESS: Case = Case {
+/// Every other gate has refused the call.
+const LAST_GATE: Case = Case {
     when_slow: WhenSlow::Start,
-    expected: Expected::StartsWithin(Duration::ZERO),
     ..WAITS_FOR_RECOVERY
 };
+/// A call that gives way cannot meet its latency objective any longer.
+const LAST_GATE_GIVES_WAY: Case = Case {
+    recovers_after: None,
+    expected: Expected::Refused(Refusal::Late, OBJECTIVE),
+    ..LAST_GATE
+};
+const LAST_GATE_NO_RECOVERY: Case = Case {
+    sheddable: false,
+    recovers_after: None,
+    expected: Expected::Starts(Duration::from_millis(600), Duration::from_millis(620)),
+    ..LAST_GATE
+};
+const LAST_GATE_PERSISTENTLY_SLOW: Case = Case {
+    slow_for: Duration::from_secs(2),
+    expected: Expected::Starts(Duration::ZERO, Duration::ZERO),
+    ..LAST_GATE
+};
 const SHORT_WORK: Case = Case {
     work: Duration::from_millis(5),
-    expected: Expected::StartsWithin(Duration::ZERO),
+    expected: Expected::Starts(Duration::ZERO, Duration::ZERO),
     ..WAITS_FOR_RECOVERY
 };
 const PERSISTENTLY_SLOW: Case = Case {
     slow_for: Duration::from_secs(2),
-    expected: Expected::RefusedWithin(Duration::ZERO),
+    expected: Expected::Refused(Refusal::TargetSlow, Duration::ZERO),
     ..WAITS_FOR_RECOVERY
 };
 
@@ -170,7 +194,10 @@
 #[case::waits_for_recovery(WAITS_FOR_RECOVERY)]
 #[case::no_recovery(NO_RECOVERY)]
 #[case::refused_for_other_gate(REFUSED_FOR_OTHER_GATE)]
-#[case::starts_despite_slowness(STARTS_DESPITE_SLOWNESS)]
+#[case::last_gate(LAST_GATE)]
+#[case::last_gate_gives_way(LAST_GATE_GIVES_WAY)]
+#[case::last_gate_no_recovery(LAST_GATE_NO_RECOVERY)]
+#[case::last_gate_persistently_slow(LAST_GATE_PERSISTENTLY_SLOW)]
 #[case::short_work(SHORT_WORK)]
 #[case::persistently_slow(PERSISTENTLY_SLOW)]
 fn calls_wait_start_or_are_refused_at_a_slow_target(#[case] case: Case) {
@@ -180,7 +207,11 @@
     gate.step(slow_since, reported(SLOW));
     let offered_at = slow_since + case.slow_for;
     gate.step(offered_at, reported(SLOW));
-    let mut out = gate.step(offered_at, Input::Offer(offer(900, case.when_slow)));
+    let offer = Offer {
+        sheddable: case.sheddable,
+        ..offer(900, case.when_slow)
+    };
+    let mut out = gate.step(offered_at, Input::Offer(offer));
     let mut now = offered_at;
     while out.is_empty() && now < offered_at + DEADLINE {
         now += Duration::from_millis(10);
@@ -191,12 +222,12 @@
     }
     let took = now.saturating_sub(offered_at);
     let as_expected = match case.expected {
-        Expected::StartsWithin(limit) => matches!(out[..], [Output::Start { .. }]) && took <= limit,
-        Expected::RefusedWithin(limit) => {
-            matches!(
-                out[..],
-                [Output::Reply(_, Reply::NotRun(Refusal::TargetSlow))]
-            ) && took <= limit
+        Expected::Starts(from, to) => {
+            matches!(out[..], [Output::Start { .. }]) && (from..=to).contains(&took)
+        }
+        Expected::Refused(refusal, limit) => {
+            matches!(out[..], [Output::Reply(_, Reply::NotRun(found))] if found == refusal)
+                && took <= limit
         }
     };
     assert!(
