The caller's connection in three files; a stop does not wait for a caller that does not read

Three faults in it, which had not landed before: a caller that had closed its sending half and read nothing held up a planned stop for ever, one that only read nothing for 30 s, and a body stopped being read while responses were held, so that its time-out could pass. Test for the first two: fails on the code before (30 s).

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,5 +1,6 @@
 //! Listeners for callers: read complete HTTP requests and respond with the result of the call.
 
+pub mod admission;
 pub mod buffer;
 pub mod connection;
 pub mod decoder;
@@ -8,5 +9,6 @@
 pub mod head;
 pub mod listener;
 pub mod message;
+pub mod pipeline;
 pub mod request;
 pub mod response;
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -19,9 +19,11 @@
 use smol_str::SmolStr;
 use tokio::sync::{oneshot, watch};
 
-use crate::connection::{self, Admission, ReadRequest};
+use crate::admission::{Admission, Admit, ReadRequest};
+use crate::connection;
 use crate::disconnect;
 use crate::message::{Call, CallerResult, CallerResultKind, Event};
+use crate::pipeline::{self, Pipeline};
 use crate::request;
 use crate::response;
 
@@ -65,7 +67,7 @@
     /// Looks up routes.
     pub lookup: RouteLookup,
     /// Limits for callers.
-    pub limits: connection::CurrentLimits,
+    pub limits: pipeline::CurrentLimits,
     /// Counter for call tokens, shared by all listeners of a daemon.
     pub next_token: Arc<AtomicU64>,
     /// Header names, paths and protocol options.
@@ -86,10 +88,13 @@
 ) -> std::io::Result<()> {
     let limits = cx.limits.clone();
     let cx = Rc::new(cx);
-    let admit: connection::Admit = Rc::new(move |head| admit(&cx, audience, head));
+    let admit: Admit = Rc::new(move |head| admit(&cx, audience, head));
     let serve_connection = {
         let stop = stop.clone();
-        move |stream| connection::serve(stream, admit.clone(), limits.clone(), stop.clone())
+        move |stream| {
+            let pipeline = Pipeline::new(admit.clone(), limits.clone());
+            connection::serve(stream, pipeline, stop.clone())
+        }
     };
     let max_connections = server::Limits::default().max_connections;
     server::accept(listener, max_connections, stop, serve_connection).await
--- /dev/null
+++ b/crates/caller/src/pipeline.rs
@@ -0,0 +1,308 @@
+//! The requests of one connection: parsed from its bytes, performed together or one after the
+//! other, and responded to in the order in which they arrived.
+
+mod deadlines;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use futures_util::future::{self, LocalBoxFuture};
+use futures_util::stream::FuturesOrdered;
+use hyper::{Method, Response};
+use pollenrouter_core::table;
+use pollenrouter_http::body::BodyError;
+use tokio::time::Instant;
+
+use crate::admission::{Admission, Admit, ReadRequest, Run};
+use crate::buffer::ReadBuffer;
+use crate::decoder::Decoder;
+use crate::head::{self, Framing, HeadError};
+use crate::{encode, response};
+
+/// Maximum number of requests of one connection that are worked on at the same time.
+pub const AT_WORK_MAX: usize = 8;
+/// Maximum number of bytes that are read ahead of the requests at work; at least the size of a
+/// request head.
+pub const READ_AHEAD_MAX_BYTES: usize = 32 << 10;
+/// While requests at work and unsent responses hold more bytes, no further request begins.
+pub const HELD_MAX_BYTES: usize = 256 << 10;
+/// Time after the stop for a request that has arrived in part.
+const STOP_READ_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Returns the current limits for callers, which can change at run time.
+pub type CurrentLimits = Arc<dyn Fn() -> table::CallerLimits + Send + Sync>;
+
+/// A request whose head has arrived.
+struct Accepted {
+    run: Run,
+    is_concurrent: bool,
+    to_head_request: bool,
+    arrived_at: Instant,
+}
+
+/// A request whose body is being read.
+struct Receiving {
+    accepted: Accepted,
+    decoder: Decoder,
+    since: Instant,
+    /// Whether the caller still waits for [`encode::CONTINUE`].
+    is_continue_due: bool,
+}
+
+/// A request that waits until it may begin.
+struct Waiting {
+    accepted: Accepted,
+    body: Result<Bytes, BodyError>,
+}
+
+/// A response, and whether it responds to a `HEAD` request.
+type Ready = (Response<Bytes>, bool);
+
+/// The requests of one connection.
+pub struct Pipeline {
+    admit: Admit,
+    limits: CurrentLimits,
+    pub(crate) input: ReadBuffer,
+    receiving: Option<Receiving>,
+    waiting: Option<Waiting>,
+    pub(crate) at_work: FuturesOrdered<LocalBoxFuture<'static, Ready>>,
+    /// Whether the request at work must remain the only one.
+    is_exclusive: bool,
+    /// Bytes of the request bodies at work and of the responses that are not encoded yet.
+    held_bytes: Rc<Cell<usize>>,
+    pub(crate) output: BytesMut,
+    /// Whether no further request is read.
+    is_closing: bool,
+    /// Whether the caller may still be sending when the connection closes.
+    pub(crate) lingers: bool,
+    /// Set by a planned stop: when the rest of a request must have arrived.
+    pub(crate) stop_deadline: Option<Instant>,
+    last_activity: Instant,
+    pub(crate) last_write: Instant,
+}
+
+impl Pipeline {
+    /// Creates a pipeline without requests.
+    #[must_use]
+    pub fn new(admit: Admit, limits: CurrentLimits) -> Self {
+        let now = Instant::now();
+        Self {
+            admit,
+            limits,
+            input: ReadBuffer::default(),
+            receiving: None,
+            waiting: None,
+            at_work: FuturesOrdered::new(),
+            is_exclusive: false,
+            held_bytes: Rc::default(),
+            output: BytesMut::new(),
+            is_closing: false,
+            lingers: false,
+            stop_deadline: None,
+            last_activity: now,
+            last_write: now,
+        }
+    }
+
+    /// Whether there is space to read ahead.
+    #[must_use]
+    pub fn reads(&self) -> bool {
+        let head_max_bytes = (self.limits)().head_bytes;
+        self.input.len() < READ_AHEAD_MAX_BYTES.max(head_max_bytes + 1)
+    }
+
+    /// Whether the last response has been written.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.is_closing && !self.has_requests() && self.output.is_empty()
+    }
+
+    fn has_requests(&self) -> bool {
+        !self.at_work.is_empty() || self.waiting.is_some() || self.receiving.is_some()
+    }
+
+    /// Parses what has arrived and begins the requests that may begin.
+    pub fn advance(&mut self) {
+        loop {
+            self.begin_waiting();
+            if self.waiting.is_some() {
+                return;
+            }
+            let has_progress = match self.receiving.take() {
+                Some(receiving) => self.receive(receiving),
+                None => self.may_accept() && self.accept(),
+            };
+            if !has_progress {
+                return;
+            }
+        }
+    }
+
+    /// Whether the next head may be parsed.
+    fn may_accept(&self) -> bool {
+        !self.is_closing && self.has_room() && !self.input.is_empty()
+    }
+
+    /// Whether there is room for another request.
+    fn has_room(&self) -> bool {
+        let held = self.held_bytes.get() + self.output.len();
+        self.at_work.len() < AT_WORK_MAX && held < HELD_MAX_BYTES
+    }
+
+    /// Parses the next head; returns whether it was complete.
+    fn accept(&mut self) -> bool {
+        let head_max_bytes = (self.limits)().head_bytes;
+        let (head, len) = match head::parse(self.input.bytes()) {
+            Ok(None) if self.input.len() <= head_max_bytes => return false,
+            Ok(Some((head, len))) if len <= head_max_bytes => (head, len),
+            Ok(_) => return self.fail(response::head_error(&HeadError::TooLarge)),
+            Err(err) => return self.fail(response::head_error(&err)),
+        };
+        let now = Instant::now();
+        let arrived_at = self.input.arrival(len - 1).unwrap_or(now);
+        self.input.consume(len);
+        self.is_closing |= head.closes || self.stop_deadline.is_some();
+        let to_head_request = head.parts.method == Method::HEAD;
+        match (self.admit)(&head.parts) {
+            Admission::Respond(response) => {
+                if head.framing != Framing::Length(0) {
+                    self.close();
+                }
+                self.push(response, to_head_request);
+            }
+            Admission::Run {
+                body_max_bytes,
+                is_concurrent,
+                run,
+            } => {
+                let accepted = Accepted {
+                    run,
+                    is_concurrent,
+                    to_head_request,
+                    arrived_at,
+                };
+                match Decoder::new(head.framing, body_max_bytes) {
+                    Err(err) => self.reject(accepted, err),
+                    Ok(decoder) => {
+                        self.receiving = Some(Receiving {
+                            accepted,
+                            decoder,
+                            since: now,
+                            is_continue_due: head.expects_continue,
+                        });
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// Reads the body of a request; returns whether it is complete.
+    fn receive(&mut self, mut receiving: Receiving) -> bool {
+        match receiving.decoder.decode(&mut self.input) {
+            Ok(Some(body)) => {
+                self.waiting = Some(Waiting {
+                    accepted: receiving.accepted,
+                    body: Ok(body),
+                });
+                true
+            }
+            Ok(None) => {
+                if receiving.is_continue_due && self.at_work.is_empty() {
+                    self.output.extend_from_slice(encode::CONTINUE);
+                    receiving.is_continue_due = false;
+                }
+                self.receiving = Some(receiving);
+                false
+            }
+            Err(err) => {
+                self.reject(receiving.accepted, err);
+                true
+            }
+        }
+    }
+
+    /// Ends the connection with the response to a request whose body cannot be read.
+    fn reject(&mut self, accepted: Accepted, err: BodyError) {
+        self.close();
+        self.waiting = Some(Waiting {
+            accepted,
+            body: Err(err),
+        });
+    }
+
+    /// Ends the connection with a response to bytes that are not a request.
+    fn fail(&mut self, response: Response<Bytes>) -> bool {
+        self.close();
+        self.push(response, false);
+        true
+    }
+
+    /// Reads no further request; the caller may have sent more.
+    fn close(&mut self) {
+        self.is_closing = true;
+        self.lingers = true;
+    }
+
+    /// Begins the waiting request if the requests at work permit it.
+    fn begin_waiting(&mut self) {
+        let Some(waiting) = &self.waiting else {
+            return;
+        };
+        let is_permitted = waiting.accepted.is_concurrent && !self.is_exclusive;
+        if !is_permitted && !self.at_work.is_empty() {
+            return;
+        }
+        let Some(Waiting { accepted, body }) = self.waiting.take() else {
+            return;
+        };
+        self.is_exclusive = !accepted.is_concurrent;
+        let body_len = body.as_ref().map_or(0, Bytes::len);
+        let held_bytes = self.held_bytes.clone();
+        held_bytes.set(held_bytes.get() + body_len);
+        let work = (accepted.run)(ReadRequest {
+            body,
+            waited: accepted.arrived_at.elapsed(),
+        });
+        let to_head_request = accepted.to_head_request;
+        let work = work.map(move |response| {
+            held_bytes.set(held_bytes.get() + response.body().len() - body_len);
+            (response, to_head_request)
+        });
+        self.at_work.push_back(work.boxed_local());
+    }
+
+    /// Adds a response that needs no work.
+    fn push(&mut self, response: Response<Bytes>, to_head_request: bool) {
+        let held = self.held_bytes.get() + response.body().len();
+        self.held_bytes.set(held);
+        self.at_work
+            .push_back(future::ready((response, to_head_request)).boxed_local());
+    }
+
+    /// Encodes the response to the earliest request.
+    pub fn respond(&mut self, (response, to_head_request): &Ready) {
+        let held = self.held_bytes.get() - response.body().len();
+        self.held_bytes.set(held);
+        let now = Instant::now();
+        if self.output.is_empty() {
+            self.last_write = now;
+        }
+        self.last_activity = now;
+        self.is_exclusive &= !self.at_work.is_empty();
+        let is_last = self.is_closing && !self.has_requests();
+        encode::response(&mut self.output, response, *to_head_request, is_last);
+    }
+
+    /// Completes the requests that have been received, and a request that has arrived in part.
+    pub fn stop(&mut self) {
+        self.stop_deadline = Some(Instant::now() + STOP_READ_TIMEOUT);
+        self.lingers = self.has_requests() || !self.input.is_empty();
+        let has_partial_request = self.waiting.is_none() && !self.input.is_empty();
+        self.is_closing |= self.receiving.is_some() || !has_partial_request;
+    }
+}
--- a/crates/caller/tests/listener/closing.rs
+++ b/crates/caller/tests/listener/closing.rs
@@ -270,3 +270,22 @@
     assert_eq!(caller.response().status, 200);
     assert_eq!(caller.response().text(), "second");
 }
+
+/// A planned stop does not wait for a caller that takes nothing of its response.
+#[test]
+fn a_stop_does_not_wait_for_a_caller_that_does_not_read() {
+    for closes in [false, true] {
+        let listener = support::start();
+        let mut caller = listener.connect();
+        caller.send(READ);
+        // More than the system buffers.
+        answer(*listener.call(), vec![b'x'; 64 << 20]);
+        assert!(listener.is_quiet());
+        if closes {
+            caller.close_sending_half();
+        }
+        listener.stop();
+        assert!(listener.has_ended(), "{closes}");
+        drop(caller);
+    }
+}
--- a/crates/caller/tests/listener/pipelining.rs
+++ b/crates/caller/tests/listener/pipelining.rs
@@ -3,8 +3,8 @@
 use std::thread;
 use std::time::Duration;
 
-use pollenrouter_caller::connection;
 use pollenrouter_caller::message::Event;
+use pollenrouter_caller::pipeline;
 
 use crate::support::{self, answer};
 
@@ -29,16 +29,16 @@
 fn a_bounded_number_of_requests_runs_together() {
     let listener = support::start();
     let mut caller = listener.connect();
-    let total = 3 * connection::AT_WORK_MAX;
+    let total = 3 * pipeline::AT_WORK_MAX;
     caller.send(&READ.repeat(total));
-    let mut calls: Vec<_> = (0..connection::AT_WORK_MAX)
+    let mut calls: Vec<_> = (0..pipeline::AT_WORK_MAX)
         .map(|_| listener.call())
         .collect();
     for index in 0..total {
         assert!(listener.is_quiet(), "request {index}");
         answer(*calls.remove(0), index.to_string());
         assert_eq!(caller.response().text(), index.to_string());
-        if index + connection::AT_WORK_MAX < total {
+        if index + pipeline::AT_WORK_MAX < total {
             calls.push(listener.call());
         }
     }
@@ -50,15 +50,15 @@
     const BODY_BYTES: usize = 4 << 20;
     let listener = support::start();
     let mut caller = listener.connect();
-    caller.send(&READ.repeat(connection::AT_WORK_MAX + 1));
-    let calls: Vec<_> = (0..connection::AT_WORK_MAX)
+    caller.send(&READ.repeat(pipeline::AT_WORK_MAX + 1));
+    let calls: Vec<_> = (0..pipeline::AT_WORK_MAX)
         .map(|_| listener.call())
         .collect();
     for call in calls {
         answer(*call, vec![b'x'; BODY_BYTES]);
     }
     assert!(listener.is_quiet());
-    for _ in 0..connection::AT_WORK_MAX {
+    for _ in 0..pipeline::AT_WORK_MAX {
         assert_eq!(caller.response().body.len(), BODY_BYTES);
     }
     answer(*listener.call(), "last");
@@ -142,7 +142,7 @@
             name: "more than is read ahead",
             behind: format!(
                 "{WRITE}{}",
-                READ.repeat(2 * connection::READ_AHEAD_MAX_BYTES / READ.len())
+                READ.repeat(2 * pipeline::READ_AHEAD_MAX_BYTES / READ.len())
             ),
         },
     ];
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -144,6 +144,12 @@
     pub fn stop(&self) {
         self.stop.send_replace(true);
     }
+
+    /// Whether the listener ends without a further event.
+    pub fn has_ended(&self) -> bool {
+        let event = self.events.recv_timeout(TIMEOUT);
+        matches!(event, Err(mpsc::RecvTimeoutError::Disconnected))
+    }
 }
 
 /// Answers a call with a body.
--- a/crates/dev/tests/support/mod.rs
+++ b/crates/dev/tests/support/mod.rs
@@ -15,6 +15,9 @@
 use pollenrouter_dev::ledger::{self, LedgerRecord, Step};
 use pollenrouter_dev::target;
 
+pub const SERVICE_TIME: Duration = Duration::from_millis(600);
+/// Much longer than any of these calls takes, so that a busy machine does not matter.
+pub const LONG_DEADLINE: Duration = Duration::from_secs(30);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -67,6 +70,16 @@
     found?["version"].as_u64()
 }
 
+/// A call to `assignment`, with a ticket. Its only target is on host 1; host 0 is another
+/// entry.
+pub fn assign_call(deployment: &Deployment, request_id: &str) -> Call {
+    let mut call = Call::new("POST", "/assignment/assign", request_id);
+    call.service_time = Some(SERVICE_TIME);
+    call.deadline = Some(LONG_DEADLINE);
+    call.ticket = Some(issue_ticket(deployment, 0, "assignment"));
+    call
+}
+
 /// Requests a ticket from an entry.
 pub fn issue_ticket(deployment: &Deployment, entry: usize, service: &str) -> smol_str::SmolStr {
     let address = deployment.hosts[entry].addresses.public;
