The last response after a stop always announces the close

The branches of the connection's select are polled in random order. Now in a fixed one, the stop first.

Ruled out: a fault of the test; it stops before it answers, so the listener could know.

--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -70,6 +70,14 @@
         schedule(&pipeline, &mut timer);
         let reads = pipeline.reads();
         tokio::select! {
+            // The stop first, so that the last response after it announces the close.
+            biased;
+            _ = stop.wait_for(|stop| *stop), if pipeline.stop_deadline.is_none() => pipeline.stop(),
+            () = &mut timer => {
+                if pipeline.has_expired() || !reads && has_left(reader) {
+                    return Ok(false);
+                }
+            }
             written = writer.write(&pipeline.output), if !pipeline.output.is_empty() => {
                 pipeline.output.advance(written?);
                 pipeline.last_write = Instant::now();
@@ -88,12 +96,6 @@
                 }
                 len => pipeline.input.record_read(len, Instant::now()),
             },
-            () = &mut timer => {
-                if pipeline.has_expired() || !reads && has_left(reader) {
-                    return Ok(false);
-                }
-            }
-            _ = stop.wait_for(|stop| *stop), if pipeline.stop_deadline.is_none() => pipeline.stop(),
         }
     }
 }
