Answers over 32 KiB no longer wait for each other one by one

Cause: read as a newcomer, the limit on memory let an answer without a stated length take all 16 MiB as soon as it passed 64 KiB, if the document allows 16 MiB. Answers in chunks of 100 KiB would have come one after the other, each at the speed of its target. Now eight bodies over 32 KiB and one over 256 KiB are read at the same time; a large one that waits blocks no medium one.

Test: eight answers of 132 KiB in chunks, each of which ends only once all have begun.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -6,13 +6,17 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use quick_error::quick_error;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::sync::Semaphore;
 use tokio::time::{self, Instant};
 
-/// A body up to this size needs no share of [`Memory`], bytes.
-pub const SMALL_MAX_BYTES: u64 = 64 << 10;
-/// Unit of the shares of [`Memory`], bytes.
-const SHARE_BYTES: u64 = 1 << 10;
+/// A body up to this size is not limited by [`Memory`], bytes.
+pub const SMALL_MAX_BYTES: u64 = 32 << 10;
+/// Size above which a body is large, bytes.
+const MEDIUM_MAX_BYTES: u64 = 256 << 10;
+/// Number of bodies over [`SMALL_MAX_BYTES`] that are read at the same time.
+const MEDIUM_BODIES: usize = 8;
+/// Number of bodies over [`MEDIUM_MAX_BYTES`] that are read at the same time.
+const LARGE_BODIES: usize = 1;
 
 quick_error! {
     /// Why a body could not be read completely.
@@ -33,35 +37,22 @@
     }
 }
 
-/// Memory that large bodies share while they are read. A body that does not get its share
-/// waits, so that the other side cannot send on.
+/// Limits how many medium and large bodies are read at the same time. A body that has to wait is
+/// not read on, so that the other side cannot send on. A large body that waits keeps its place
+/// among the medium ones, and none of those waits for a large one: they cannot block each other.
 #[derive(Debug)]
 pub struct Memory {
-    shares: Semaphore,
-    total: u32,
+    medium: Semaphore,
+    large: Semaphore,
 }
 
-impl Memory {
-    /// Creates memory for large bodies. One body may take all of it.
-    #[must_use]
-    pub fn new(bytes: u64) -> Self {
-        let total = shares(bytes);
+impl Default for Memory {
+    fn default() -> Self {
         Self {
-            shares: Semaphore::new(total as usize),
-            total,
+            medium: Semaphore::new(MEDIUM_BODIES),
+            large: Semaphore::new(LARGE_BODIES),
         }
     }
-
-    /// Takes a share of `bytes`, or all of the memory if there is less.
-    async fn take(&self, bytes: u64) -> Option<SemaphorePermit<'_>> {
-        let wanted = shares(bytes).min(self.total);
-        // The semaphore is never closed.
-        self.shares.acquire_many(wanted).await.ok()
-    }
-}
-
-fn shares(bytes: u64) -> u32 {
-    u32::try_from(bytes.div_ceil(SHARE_BYTES)).unwrap_or(u32::MAX)
 }
 
 /// Reads a complete body.
@@ -101,9 +92,8 @@
     if hint.lower() > limit {
         return Err(BodyError::TooLarge(limit));
     }
-    let max_bytes = hint.exact().unwrap_or(limit);
     let mut collected = BytesMut::new();
-    let mut share = None;
+    let (mut medium, mut large) = (None, None);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| BodyError::Incomplete(err.to_string()))?;
         let Ok(data) = frame.into_data() else {
@@ -113,13 +103,28 @@
         if len > limit {
             return Err(BodyError::TooLarge(limit));
         }
+        // The semaphores are never closed.
         if len > SMALL_MAX_BYTES
-            && share.is_none()
+            && medium.is_none()
             && let Some(memory) = memory
         {
-            share = memory.take(max_bytes).await;
+            medium = memory.medium.acquire().await.ok();
+            reserve(&mut collected, limit.min(MEDIUM_MAX_BYTES));
+        }
+        if len > MEDIUM_MAX_BYTES
+            && large.is_none()
+            && let Some(memory) = memory
+        {
+            large = memory.large.acquire().await.ok();
+            reserve(&mut collected, limit);
         }
         collected.extend_from_slice(&data);
     }
     Ok(collected.freeze())
 }
+
+/// Makes room for `total` bytes at once, so that the buffer does not grow by copies of itself.
+fn reserve(buf: &mut BytesMut, total: u64) {
+    let total = usize::try_from(total).unwrap_or(usize::MAX);
+    buf.reserve(total.saturating_sub(buf.len()));
+}
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -36,8 +36,6 @@
 /// Short because calls wait for the target's load; a target on the same host reports it
 /// within a few milliseconds.
 const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(30);
-/// Memory for answers larger than [`body::SMALL_MAX_BYTES`] while they are read.
-const LARGE_ANSWERS_BYTES: u64 = 16 << 20;
 const CANCEL_PATH: &str = "/.target/cancel/";
 /// Maximum idle time of a connection that is reused for a call that may run at most once.
 /// The target may have closed a connection that was idle for longer, and the call would be
@@ -59,7 +57,7 @@
     clock: Clock,
     /// How long to wait for an answer after the call's deadline.
     answer_wait: Duration,
-    large_answers: Rc<body::Memory>,
+    answer_memory: Rc<body::Memory>,
     sink: Sink,
 }
 
@@ -74,7 +72,7 @@
             convention,
             clock,
             answer_wait,
-            large_answers: Rc::new(body::Memory::new(LARGE_ANSWERS_BYTES)),
+            answer_memory: Rc::default(),
             sink,
         }
     }
@@ -166,7 +164,7 @@
         };
         let (parts, body) = response.into_parts();
         let max_bytes = call.answer_max_bytes;
-        let body = body::read_until(body, max_bytes, deadline, &self.large_answers)
+        let body = body::read_until(body, max_bytes, deadline, &self.answer_memory)
             .await
             .map_err(|err| self.log_lost(&call, &err.to_string()))?;
         let head = http_message::ResponseHead {
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, Barrier, mpsc};
 use std::thread;
 use std::time::Duration;
 
@@ -26,6 +26,7 @@
     commands: tokio::sync::mpsc::UnboundedSender<Command>,
     events: mpsc::Receiver<Event>,
     next_seq: u64,
+    deadline: Duration,
 }
 
 impl Client {
@@ -57,6 +58,7 @@
             commands,
             events,
             next_seq: 0,
+            deadline: DEADLINE,
         };
         client.execute(Command::SetAddress(target.address));
         client
@@ -84,7 +86,7 @@
             body: Bytes::new(),
             target: "".into(),
             at_most_once: false,
-            deadline: clock::boot_time() + DEADLINE,
+            deadline: clock::boot_time() + self.deadline,
             depth: 0,
             answer_max_bytes: ANSWER_MAX_BYTES,
         }));
@@ -206,6 +208,24 @@
     assert_eq!(client.call("/fault"), gate::Outcome::Lost);
 }
 
+/// Several answers over the size of a small one, without a stated length, arrive side by side: each
+/// ends only once all have begun.
+#[test]
+fn medium_answers_are_read_at_the_same_time() {
+    const ANSWERS: usize = 8;
+    let barrier = Arc::new(Barrier::new(ANSWERS));
+    let choose = move |_: usize, _: &str| Fault::LongBody;
+    let target = faulty::start_with_barrier(Arc::new(choose), barrier);
+    let target = target.expect("target must start");
+    let mut client = Client::start(&target);
+    client.deadline = TIMEOUT;
+    let sent: Vec<_> = (0..ANSWERS).map(|_| client.send("/good")).collect();
+    let finished: HashMap<_, _> = sent.iter().map(|_| client.finished()).collect();
+    for id in sent {
+        assert!(is_answered(&finished[&id]), "{:?}", finished[&id]);
+    }
+}
+
 /// The late second copy of an answer reaches nobody.
 #[test]
 fn a_second_copy_of_an_answer_is_not_taken_for_the_next_one() {
