--- a/crates/dev/src/faulty.rs
+++ b/crates/dev/src/faulty.rs
@@ -2,8 +2,8 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
-use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
 const HEAD: &str = "HTTP/1.1 200 OK\r\n";
 const BLOCK: [u8; 4096] = [b'y'; 4096];
-/// Chunks of a long body before its last one.
+/// Chunks of a long body.
 const LONG_BODY_CHUNKS: usize = 32;
 
 /// What the target does with a request.
@@ -49,8 +49,10 @@
     HalfBody,
     /// Sends the head byte by byte, too slowly.
     TrickledHead,
-    /// Sends the first part of a body in chunks, and the rest once enough answers have come so far.
+    /// Answers with a long body in chunks.
     LongBody,
+    /// Sends the same, but for its last chunk.
+    StalledLongBody,
     /// Sends the head after this many milliseconds, and after as many again the body.
     SlowParts(u64),
     /// Sends a body byte by byte, too slowly.
@@ -104,23 +106,15 @@
 /// # Errors
 /// The listener cannot be bound.
 pub fn start(choose: Choose) -> io::Result<Target> {
-    start_with_barrier(choose, Arc::new(Barrier::new(1)))
-}
-
-/// Starts a target whose long bodies wait for each other at `barrier`.
-///
-/// # Errors
-/// The listener cannot be bound.
-pub fn start_with_barrier(choose: Choose, barrier: Arc<Barrier>) -> io::Result<Target> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let (tx, seen) = mpsc::channel();
     thread::spawn(move || {
         for (index, stream) in listener.incoming().flatten().enumerate() {
-            let (tx, choose, barrier) = (tx.clone(), choose.clone(), barrier.clone());
+            let (tx, choose) = (tx.clone(), choose.clone());
             thread::spawn(move || {
                 // The daemon closes the connection, which ends every fault.
-                let _ = serve(stream, index, &tx, &choose, &barrier);
+                let _ = serve(stream, index, &tx, &choose);
                 let _ = tx.send(Seen::Closed(index));
             });
         }
@@ -133,7 +127,6 @@
     index: usize,
     tx: &Sender<Seen>,
     choose: &Choose,
-    barrier: &Barrier,
 ) -> io::Result<()> {
     let mut copy = Vec::new();
     while let Some(head) = read_request(&mut stream)? {
@@ -156,12 +149,8 @@
                     .write_all(format!("{HEAD}{id}content-length: 8\r\n\r\ndone").as_bytes());
             }
             Fault::LongBody => {
-                let chunk = format!("1000\r\n{}\r\n", String::from_utf8_lossy(&BLOCK));
-                let start = format!("{HEAD}{id}transfer-encoding: chunked\r\n\r\n");
-                stream.write_all(start.as_bytes())?;
-                stream.write_all(chunk.repeat(LONG_BODY_CHUNKS).as_bytes())?;
-                barrier.wait();
-                stream.write_all(format!("{chunk}0\r\n\r\n").as_bytes())?;
+                stream.write_all(long_body(&id).as_bytes())?;
+                stream.write_all(b"0\r\n\r\n")?;
             }
             Fault::SlowParts(ms) => {
                 thread::sleep(Duration::from_millis(ms));
@@ -189,6 +178,7 @@
         Fault::EndlessExtension => (format!("{chunked}1;"), block.to_string()),
         Fault::EndlessTrailers => (format!("{chunked}0\r\n"), "x: y\r\n".repeat(100)),
         Fault::EndlessBody => (format!("{HEAD}{id}\r\n"), block.to_string()),
+        Fault::StalledLongBody => (long_body(id), String::new()),
         Fault::MissingBody => (
             format!("{HEAD}{id}content-length: 10\r\n\r\n"),
             String::new(),
@@ -211,6 +201,13 @@
     }
 }
 
+/// A head and chunks; the empty chunk that ends the body is left out.
+fn long_body(id: &str) -> String {
+    let chunk = format!("1000\r\n{}\r\n", String::from_utf8_lossy(&BLOCK));
+    let chunks = chunk.repeat(LONG_BODY_CHUNKS);
+    format!("{HEAD}{id}transfer-encoding: chunked\r\n\r\n{chunks}")
+}
+
 fn trickle(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     for byte in bytes.iter().cycle() {
         stream.write_all(&[*byte])?;
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::{Arc, Barrier, mpsc};
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::Duration;
 
@@ -208,22 +208,27 @@
     assert_eq!(client.call("/fault"), gate::Outcome::Lost);
 }
 
-/// Several answers over the size of a small one, without a stated length, arrive side by side: each
-/// ends only once all have begun.
+/// A long answer arrives while others of its size stall.
 #[test]
-fn medium_answers_are_read_at_the_same_time() {
-    const ANSWERS: usize = 8;
-    let barrier = Arc::new(Barrier::new(ANSWERS));
-    let choose = move |_: usize, _: &str| Fault::LongBody;
-    let target = faulty::start_with_barrier(Arc::new(choose), barrier);
-    let target = target.expect("target must start");
+fn a_long_answer_does_not_wait_for_stalled_ones() {
+    const STALLED: usize = 7;
+    let choose = |_: usize, head: &str| {
+        if head.starts_with("GET /fault") {
+            Fault::StalledLongBody
+        } else {
+            Fault::LongBody
+        }
+    };
+    let target = faulty::start(Arc::new(choose)).expect("target must start");
     let mut client = Client::start(&target);
     client.deadline = TIMEOUT;
-    let sent: Vec<_> = (0..ANSWERS).map(|_| client.send("/good")).collect();
-    let finished: HashMap<_, _> = sent.iter().map(|_| client.finished()).collect();
-    for id in sent {
-        assert!(is_answered(&finished[&id]), "{:?}", finished[&id]);
+    for _ in 0..STALLED {
+        client.send("/fault");
+        connection_of(&target, "/fault");
     }
+    // Lets the stalled answers arrive.
+    thread::sleep(DEADLINE);
+    assert!(is_answered(&client.call("/good")));
 }
 
 /// The late second copy of an answer reaches nobody.
