A failing test: a gate without a document makes a proper request 404

The gate says that it has no document of its target's service, the entry passes this on as the last refusal, and the caller gets 404 although the entry's table has the route. Of the five states of a gate that cannot run a call, this one fails: 404 in place of 503.

--- /dev/null
+++ b/crates/caller/tests/gate_refusals.rs
@@ -0,0 +1,138 @@
+//! Refusals of gates, as callers see them.
+
+use std::time::Duration;
+
+use pollenrouter_caller::message::{CallerResult, CallerResultKind};
+use pollenrouter_caller::response;
+use pollenrouter_core::call::Reply;
+use pollenrouter_core::entry::{self, CallResult, Entry};
+use pollenrouter_core::gate::target::TargetIncarnation;
+use pollenrouter_core::gate::{self, Gate};
+use pollenrouter_core::service::{Limits, ProbeBudget, Service};
+use pollenrouter_http::convention;
+use rstest::rstest;
+
+const SERVICE: &str = "seats";
+const HOST: &str = "leoben-1";
+const GATE: u64 = 7;
+const NOW: Duration = Duration::from_secs(1);
+
+struct Case {
+    /// What the gate has been told before the call.
+    known: fn() -> Vec<gate::Input>,
+}
+
+const RESTARTED: Case = Case {
+    known: || vec![document(SERVICE), announcement(SERVICE)],
+};
+const WITHOUT_DOCUMENT: Case = Case {
+    known: || vec![gate::Input::DeparturesLoaded, announcement(SERVICE)],
+};
+const WITHOUT_TARGET: Case = Case {
+    known: || vec![gate::Input::DeparturesLoaded, document(SERVICE)],
+};
+const OTHER_SERVICE: Case = Case {
+    known: || {
+        let service = "board";
+        vec![
+            gate::Input::DeparturesLoaded,
+            document(service),
+            announcement(service),
+        ]
+    },
+};
+const DRAINING: Case = Case {
+    known: || {
+        vec![
+            gate::Input::DeparturesLoaded,
+            document(SERVICE),
+            announcement(SERVICE),
+            gate::Input::Drain,
+        ]
+    },
+};
+
+fn document(name: &str) -> gate::Input {
+    gate::Input::Document(Service {
+        name: name.into(),
+        internal_callers: Vec::new(),
+        routes: Vec::new(),
+        limits: Limits::default(),
+        probe_budget: ProbeBudget::default(),
+    })
+}
+
+fn announcement(service: &str) -> gate::Input {
+    gate::Input::Announced(gate::Announcement {
+        incarnation: TargetIncarnation {
+            name: "i-1".into(),
+            started_ms: 1,
+        },
+        sequence: 1,
+        service: service.into(),
+        slots: 4,
+        draining: false,
+        cold_start: Duration::ZERO,
+    })
+}
+
+/// Guards against 4xx for a proper request because of what one gate does not know yet.
+#[rstest]
+#[case::restarted(RESTARTED)]
+#[case::without_document(WITHOUT_DOCUMENT)]
+#[case::without_target(WITHOUT_TARGET)]
+#[case::other_service(OTHER_SERVICE)]
+#[case::draining(DRAINING)]
+fn a_gate_that_cannot_run_a_call_does_not_make_the_request_wrong(#[case] case: Case) {
+    let mut gate = Gate::new(GATE, gate::RECORDS_MAX).awaiting_departures();
+    for input in (case.known)() {
+        gate.step(Duration::ZERO, input);
+    }
+    let mut entry = Entry::new(1);
+    let member = entry::Member {
+        host: HOST.into(),
+        incarnation: GATE,
+        service: SERVICE.into(),
+        serving: true,
+        ..entry::Member::default()
+    };
+    entry.step(NOW, entry::Input::Members(vec![member]));
+    let request = entry::Request {
+        token: 1,
+        service: SERVICE.into(),
+        remaining: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        max_attempts: 2,
+        ..entry::Request::default()
+    };
+    let mut outputs = entry.step(NOW, entry::Input::Call(request));
+    let result = loop {
+        match outputs.pop().expect("the call must end") {
+            entry::Output::Done(_, result, _) => break result,
+            entry::Output::Offer(host, _, offer) => {
+                let id = offer.id;
+                let replies = gate.step(NOW, gate::Input::Offer(offer));
+                let reply = replies.iter().find_map(|output| match output {
+                    gate::Output::Reply(_, reply) => Some(*reply),
+                    _ => None,
+                });
+                let reply = reply.expect("the gate must refuse the call");
+                assert!(matches!(reply, Reply::NotRun(_)), "{reply:?}");
+                let hint = gate.hint(NOW);
+                outputs = entry.step(NOW, entry::Input::Reply(host, id, reply, hint));
+            }
+            other => panic!("unexpected output {other:?}"),
+        }
+    };
+    let CallResult::NotRun(refusal) = result else {
+        panic!("the call did not run, but the result is {result:?}");
+    };
+    let result = CallerResult {
+        kind: CallerResultKind::NotRun(refusal),
+        ticket: None,
+        retry_after: None,
+    };
+    let response = response::from_result(&convention::OWN, result, false);
+    assert_eq!(response.status(), 503, "{refusal}");
+    assert!(response.headers().contains_key("retry-after"));
+}
