Requests that the listener rejects by itself are logged

A 404 was logged at debug level only, without the table's version, and 400, 408, 413 and 431 not at all, so that the logs could not tell a request refused by an outdated table from one taken for malformed.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -1,16 +1,18 @@
 //! The public and the internal listener for callers.
 
-use std::net;
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use std::{fmt, net};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
-use log::debug;
+use log::info;
 use pollenrouter_core::call::{MAX_DEPTH, Refusal, UnknownReason};
 use pollenrouter_core::{http_message, id, service, table};
 use pollenrouter_http::convention::Convention;
@@ -42,8 +44,8 @@
 pub enum LookupResult {
     /// The route that matches.
     Route(Box<RouteMatch>),
-    /// No route matches.
-    NoRoute,
+    /// No route of the table with this version matches.
+    NoRoute(id::Version),
     /// The daemon has not loaded a routing table yet.
     NotReady,
 }
@@ -112,18 +114,20 @@
         Err(err) => {
             let ticket = request::parse_ticket(&head.headers).ok().flatten();
             let rejected = response::rejected(response::invalid_head(&err), ticket.as_ref());
+            log_rejected(&subject(cx, head), None, &rejected, &err);
             return Admission::Respond(rejected);
         }
     };
-    let refused = |refusal| {
-        debug!(host:% = parsed.host, path:% = parsed.path; "request rejected: {refusal}");
+    let refused = |refusal, table| {
         let refused = response::refused(&cx.convention, refusal, None, false);
-        Admission::Respond(response::rejected(refused, parsed.ticket.as_ref()))
+        let refused = response::rejected(refused, parsed.ticket.as_ref());
+        log_rejected(&subject(cx, head), table, &refused, &refusal);
+        Admission::Respond(refused)
     };
     let matched = match (cx.lookup)(&parsed) {
         LookupResult::Route(matched) => matched,
-        LookupResult::NoRoute => return refused(Refusal::NoRoute),
-        LookupResult::NotReady => return refused(Refusal::NotReady),
+        LookupResult::NoRoute(table) => return refused(Refusal::NoRoute, Some(table)),
+        LookupResult::NotReady => return refused(Refusal::NotReady, None),
     };
     let headers = forwarded_headers(cx, audience, &head.headers);
     let body_max_bytes = matched.body_bytes;
@@ -136,7 +140,18 @@
             let ticket = parsed.ticket.clone();
             let performed = match read.body {
                 Ok(body) => call(&cx, audience, parsed, *matched, headers, body, read.waited).await,
-                Err(err) => Err(response::body_error(&err)),
+                Err(err) => {
+                    let rejected = response::body_error(&err);
+                    let name = cx.convention.request_id_header;
+                    let request = headers.iter().find(|(n, _)| n == name);
+                    let subject = Subject {
+                        request: request.map_or("".into(), |(_, v)| String::from_utf8_lossy(v)),
+                        host: &parsed.host,
+                        path: parsed.path_without_query(),
+                    };
+                    log_rejected(&subject, None, &rejected, &err);
+                    Err(rejected)
+                }
             };
             performed.unwrap_or_else(|rejection| response::rejected(rejection, ticket.as_ref()))
         }
@@ -149,6 +164,41 @@
     }
 }
 
+/// What the log says of a rejected request.
+struct Subject<'a> {
+    /// Id that the caller gave it.
+    request: Cow<'a, str>,
+    host: &'a str,
+    path: &'a str,
+}
+
+fn subject<'a>(cx: &Context, head: &'a Parts) -> Subject<'a> {
+    let text = |name: &str| head::text(&head.headers, name).unwrap_or_default();
+    Subject {
+        request: text(cx.convention.request_id_header).into(),
+        host: text(HOST.as_str()),
+        path: head.uri.path(),
+    }
+}
+
+/// Logs a response that the listener gives without the router. `table` is the version of the
+/// table that decided.
+fn log_rejected(
+    subject: &Subject,
+    table: Option<id::Version>,
+    response: &Response<Bytes>,
+    reason: &dyn fmt::Display,
+) {
+    info!(
+        request:% = subject.request,
+        host:% = subject.host,
+        path:% = subject.path,
+        table:?,
+        status = response.status().as_u16();
+        "request rejected: {reason}"
+    );
+}
+
 /// The end-to-end headers to forward. The deadline header and the caller header of the request
 /// are removed. The caller header is set again if the caller runs on this host and the service
 /// of this host is known.
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -4,6 +4,7 @@
 mod deadlines;
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use futures_util::future::{self, LocalBoxFuture};
 use futures_util::stream::FuturesOrdered;
 use hyper::{Method, Response};
+use log::info;
 use pollenrouter_core::table;
 use pollenrouter_http::body::BodyError;
 use tokio::time::Instant;
@@ -159,8 +161,8 @@
         let (head, len) = match head::parse(self.input.bytes()) {
             Ok(None) if self.input.len() <= head_max_bytes => return false,
             Ok(Some((head, len))) if len <= head_max_bytes => (head, len),
-            Ok(_) => return self.fail(response::head_error(&HeadError::TooLarge)),
-            Err(err) => return self.fail(response::head_error(&err)),
+            Ok(_) => return self.fail_with(HeadError::TooLarge),
+            Err(err) => return self.fail_with(err),
         };
         let now = Instant::now();
         let arrived_at = self.input.arrival(len - 1).unwrap_or(now);
@@ -235,8 +237,13 @@
         });
     }
 
+    fn fail_with(&mut self, err: HeadError) -> bool {
+        self.fail(response::head_error(&err), &err)
+    }
+
     /// Ends the connection with a response to bytes that are not a request.
-    fn fail(&mut self, response: Response<Bytes>) -> bool {
+    fn fail(&mut self, response: Response<Bytes>, reason: &dyn fmt::Display) -> bool {
+        info!(status = response.status().as_u16(); "connection rejected: {reason}");
         self.close();
         self.push(response, false);
         true
--- a/crates/caller/src/pipeline/deadlines.rs
+++ b/crates/caller/src/pipeline/deadlines.rs
@@ -72,7 +72,7 @@
                     self.reject(receiving.accepted, BodyError::Timeout(BODY_TIMEOUT));
                 }
                 None => {
-                    self.fail(response::head_timeout());
+                    self.fail(response::head_timeout(), &"the head did not arrive in time");
                 }
             }
         }
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -76,7 +76,7 @@
 fn lookup(req: &ParsedRequest) -> LookupResult {
     let repeatable = req.path.starts_with("/read");
     if !repeatable && !req.path.starts_with("/write") {
-        return LookupResult::NoRoute;
+        return LookupResult::NoRoute(1);
     }
     LookupResult::Route(Box::new(RouteMatch {
         route: table::Route {
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -18,10 +18,10 @@
         return LookupResult::NotReady;
     };
     let Some(route) = table.find_route(&req.host, &req.method, req.path_without_query()) else {
-        return LookupResult::NoRoute;
+        return LookupResult::NoRoute(table.version);
     };
     let Some(service) = route.pick_service(rand::random()) else {
-        return LookupResult::NoRoute;
+        return LookupResult::NoRoute(table.version);
     };
     let limits = table.services.get(service).map(|service| &service.limits);
     let body_bytes = limits.map_or(u64::MAX, |limits| limits.request_bytes);
