A gate without a document no longer makes a request unknown

Callers saw 404 "no document of this service is in force" for requests whose route is in every table. Cause: a gate that was open (departures known, target announced) but had no document of its service answered NoDocument, which says something about the gate; the entry passed the last refusal on, and for a caller NoDocument means that the route does not exist. A daemon is in this state after a restart until it has a table, and while its table is older than the service.

Now the gate answers that it is not ready and reports itself as closed, so that entries avoid it, and an entry takes no refusal of a gate for a verdict on the request, also from gates of an earlier version. Only the entry's own table decides on 404 and 403.

Evidence: gate_refusals, case without_document: 404 before, 503 with retry-after now. Why it works: the only refusals that map to 404 or 403 now come from the listener's own lookup.

--- a/crates/caller/tests/gate_refusals.rs
+++ b/crates/caller/tests/gate_refusals.rs
@@ -4,10 +4,11 @@
 
 use pollenrouter_caller::message::{CallerResult, CallerResultKind};
 use pollenrouter_caller::response;
-use pollenrouter_core::call::Reply;
+use pollenrouter_core::call::{Refusal, Reply};
 use pollenrouter_core::entry::{self, CallResult, Entry};
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::gate::{self, Gate};
+use pollenrouter_core::hint::Hint;
 use pollenrouter_core::service::{Limits, ProbeBudget, Service};
 use pollenrouter_http::convention;
 use rstest::rstest;
@@ -76,18 +77,7 @@
     })
 }
 
-/// Guards against 4xx for a proper request because of what one gate does not know yet.
-#[rstest]
-#[case::restarted(RESTARTED)]
-#[case::without_document(WITHOUT_DOCUMENT)]
-#[case::without_target(WITHOUT_TARGET)]
-#[case::other_service(OTHER_SERVICE)]
-#[case::draining(DRAINING)]
-fn a_gate_that_cannot_run_a_call_does_not_make_the_request_wrong(#[case] case: Case) {
-    let mut gate = Gate::new(GATE, gate::RECORDS_MAX).awaiting_departures();
-    for input in (case.known)() {
-        gate.step(Duration::ZERO, input);
-    }
+fn entry_with_gate() -> Entry {
     let mut entry = Entry::new(1);
     let member = entry::Member {
         host: HOST.into(),
@@ -97,15 +87,53 @@
         ..entry::Member::default()
     };
     entry.step(NOW, entry::Input::Members(vec![member]));
-    let request = entry::Request {
+    entry
+}
+
+fn request() -> entry::Request {
+    entry::Request {
         token: 1,
         service: SERVICE.into(),
         remaining: Duration::from_secs(1),
         objective: Duration::from_secs(1),
         max_attempts: 2,
         ..entry::Request::default()
+    }
+}
+
+/// Status of the response for a call that did not run.
+fn status(result: CallResult) -> u16 {
+    let CallResult::NotRun(refusal) = result else {
+        panic!("the call did not run, but the result is {result:?}");
     };
-    let mut outputs = entry.step(NOW, entry::Input::Call(request));
+    let result = CallerResult {
+        kind: CallerResultKind::NotRun(refusal),
+        ticket: None,
+        retry_after: None,
+    };
+    let response = response::from_result(&convention::OWN, result, false);
+    let status = response.status().as_u16();
+    assert_eq!(
+        response.headers().contains_key("retry-after"),
+        status == 503
+    );
+    status
+}
+
+/// Guards against 4xx for a proper request because of what one gate does not know yet.
+#[rstest]
+#[case::restarted(RESTARTED)]
+#[case::without_document(WITHOUT_DOCUMENT)]
+#[case::without_target(WITHOUT_TARGET)]
+#[case::other_service(OTHER_SERVICE)]
+#[case::draining(DRAINING)]
+fn a_gate_that_cannot_run_a_call_does_not_make_the_request_wrong(#[case] case: Case) {
+    let mut gate = Gate::new(GATE, gate::RECORDS_MAX).awaiting_departures();
+    for input in (case.known)() {
+        gate.step(Duration::ZERO, input);
+    }
+    let mut entry = entry_with_gate();
+    let mut outputs = entry.step(NOW, entry::Input::Call(request()));
     let result = loop {
         match outputs.pop().expect("the call must end") {
             entry::Output::Done(_, result, _) => break result,
@@ -124,15 +152,32 @@
             other => panic!("unexpected output {other:?}"),
         }
     };
-    let CallResult::NotRun(refusal) = result else {
-        panic!("the call did not run, but the result is {result:?}");
-    };
-    let result = CallerResult {
-        kind: CallerResultKind::NotRun(refusal),
-        ticket: None,
-        retry_after: None,
+    assert_eq!(status(result), 503);
+}
+
+/// Guards against the same with gates of an earlier version, during a rolling update.
+#[rstest]
+#[case::no_document(Refusal::NoDocument)]
+#[case::no_route(Refusal::NoRoute)]
+#[case::not_public(Refusal::NotPublic)]
+#[case::caller_not_allowed(Refusal::CallerNotAllowed)]
+fn a_gate_does_not_decide_that_a_request_is_wrong(#[case] refusal: Refusal) {
+    let mut entry = entry_with_gate();
+    let id = entry
+        .step(NOW, entry::Input::Call(request()))
+        .iter()
+        .find_map(|output| match output {
+            entry::Output::Offer(_, _, offer) => Some(offer.id),
+            _ => None,
+        })
+        .expect("the call must be offered");
+    let reply = Reply::NotRun(refusal);
+    let outputs = entry.step(
+        NOW,
+        entry::Input::Reply(HOST.into(), id, reply, Hint::default()),
+    );
+    let [entry::Output::Done(_, result, _)] = outputs.as_slice() else {
+        panic!("the call must end: {outputs:?}");
     };
-    let response = response::from_result(&convention::OWN, result, false);
-    assert_eq!(response.status(), 503, "{refusal}");
-    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(status(*result), 503);
 }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -115,6 +115,21 @@
     }
 }
 
+impl Refusal {
+    /// The refusal that an entry reports for one that it received from a gate. A gate that lacks
+    /// a document or a route knows less than the entry, whose table has the route: it cannot
+    /// tell that the request is wrong.
+    #[must_use]
+    pub fn from_gate(self) -> Self {
+        match self {
+            Self::NoDocument | Self::NoRoute | Self::NotPublic | Self::CallerNotAllowed => {
+                Self::NotReady
+            }
+            other => other,
+        }
+    }
+}
+
 quick_error! {
     /// Why it is unknown whether a call ran.
     #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -290,7 +290,7 @@
             match reply {
                 Reply::Answer => self.finish_with(token, Ok(id), out),
                 Reply::Failure => self.target_failed(now, token, id, out),
-                Reply::NotRun(refusal) => self.not_run(now, token, refusal, out),
+                Reply::NotRun(refusal) => self.not_run(now, token, refusal.from_gate(), out),
                 Reply::Unknown(reason) => self.unknown_outcome(now, token, reason, out),
             }
         }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -302,7 +302,7 @@
             slowness: self.speed_tracker.slowness(now),
             failing: saturating_u32(failed) * 2 > OUTCOME_WINDOW,
             leaving: self.current_refusal(now) == Some(Refusal::Draining),
-            closed: self.current_refusal(now).is_some(),
+            closed: self.current_refusal(now).is_some() || self.document.is_none(),
         }
     }
 
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -69,7 +69,7 @@
         if self.targets.current().map(|t| &t.announcement.service) != Some(&offer.service) {
             return Err(Refusal::WrongService);
         }
-        let document = self.document.as_ref().ok_or(Refusal::NoDocument)?;
+        let document = self.document.as_ref().ok_or(Refusal::NotReady)?;
         let route = document.route_by_name(&offer.route);
         if !offer.at_most_once && route.is_some_and(|r| !r.repeatable) {
             // The entry's older document lets it run the call again at another gate.
