A route that moves while a body arrives is no longer unknown

Callers could see 404 for a request whose route is in the table before a change and in the one after it. Cause: the listener looks the route up when the head has arrived, the router looks for its service when the body has; if the table in force by then has dropped the service, the router said that the service has no document, which is 404 for the caller. Now it says that the request was routed by an older document: 503 with retry-after, and the next attempt is routed anew.

--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -42,9 +42,9 @@
     call: &Call,
 ) -> Result<(), Refusal> {
     let document = table.and_then(|table| table.services.get(&call.service));
-    let Some(document) = document else {
-        return Err(Refusal::NoDocument);
-    };
+    // The listener found the service in an older table; the current one may have the route under
+    // another service.
+    let document = document.ok_or(Refusal::StaleDocument)?;
     if call.depth == 0 && call.route.policy.audience == service::Audience::Internal {
         return Err(Refusal::NotPublic);
     }
