The log names the request of a lost call by its digest

The ids of a request that comes again are new each time, so the logs could not tell whether the targets that ended one after the other had the same request at work. Method, path and body never enter the log, their digest does.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -276,6 +276,15 @@
         !self.departures_loaded || awaits_target
     }
 
+    /// Digest of the request with this id.
+    #[must_use]
+    pub fn fingerprint(&self, id: id::CallId) -> Option<id::Fingerprint> {
+        match self.records.lookup(id) {
+            records::Lookup::Record(record) => record.fingerprint,
+            records::Lookup::New | records::Lookup::Expired => None,
+        }
+    }
+
     /// Incarnation of the target that announced itself last.
     #[must_use]
     pub fn target_incarnation(&self) -> Option<&target::TargetIncarnation> {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -19,6 +19,8 @@
 pub type TargetName = SmolStr;
 /// Random number that a daemon generates at each start.
 pub type Incarnation = u64;
+/// Digest of a request's host, method, path and body.
+pub type Fingerprint = u64;
 /// Version of an object, assigned by the platform.
 pub type Version = u64;
 
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -200,6 +200,7 @@
             id,
             head: offered.request.head,
             body: offered.request.body,
+            fingerprint: self.gate.fingerprint(id).unwrap_or_default(),
             deadline: self.clock_start + deadline,
             depth: offered.depth,
             target: self
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -16,6 +16,8 @@
     pub head: http_message::RequestHead,
     /// Complete body of the request.
     pub body: Bytes,
+    /// Digest of the request, for logs.
+    pub fingerprint: id::Fingerprint,
     /// The only target that may run the call; empty if any target may.
     pub target: id::TargetName,
     /// Whether the call may run at most once.
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -219,6 +219,7 @@
         warn!(
             request:% = request.unwrap_or_default(),
             call:% = format_call_id(call.id),
+            digest:% = format_args!("{:016x}", call.fingerprint),
             by:% = call.target;
             "call lost at the target: {reason}"
         );
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -84,6 +84,7 @@
                 headers: Vec::new(),
             },
             body: Bytes::new(),
+            fingerprint: 1,
             target: "".into(),
             at_most_once: false,
             deadline: clock::boot_time() + self.deadline,
