A caller that is not known yet is not forbidden to call

After a restart of its daemon a service's inner calls got 403 until the service announced itself again: the daemon did not know yet who the caller was, and said that the caller is not admitted. Now it says that it is not ready (503).

Callers that are known and not listed get 403 as before.

--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::call::Refusal;
 use crate::id;
 
 /// A checked service document.
@@ -138,12 +139,18 @@
             .find(|route| route.method == method && path.starts_with(route.path.as_str()))
     }
 
-    /// Whether the service `caller` may call this one; `None` if the caller's service is
-    /// unknown.
-    #[must_use]
-    pub fn admits(&self, caller: Option<&id::ServiceName>) -> bool {
-        self.internal_callers.is_empty()
-            || caller.is_some_and(|caller| self.internal_callers.contains(caller))
+    /// Checks whether the service `caller` may call this one; `None` if the caller's service is
+    /// not known yet.
+    ///
+    /// # Errors
+    /// The reason for the refusal.
+    pub fn admit(&self, caller: Option<&id::ServiceName>) -> Result<(), Refusal> {
+        match caller {
+            _ if self.internal_callers.is_empty() => Ok(()),
+            None => Err(Refusal::NotReady),
+            Some(caller) if self.internal_callers.contains(caller) => Ok(()),
+            Some(_) => Err(Refusal::CallerNotAllowed),
+        }
     }
 
     /// Finds a route by its name.
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -49,8 +49,8 @@
         return Err(Refusal::NotPublic);
     }
     // A service calls through the daemon on its own host, so `local_service` is the caller.
-    if call.depth > 0 && !document.admits(local_service) {
-        return Err(Refusal::CallerNotAllowed);
+    if call.depth > 0 {
+        document.admit(local_service)?;
     }
     Ok(())
 }
