--- a/crates/core/tests/callers.rs
+++ b/crates/core/tests/callers.rs
@@ -44,7 +44,7 @@
     let callers = case.internal_callers.iter();
     let service = Service {
         name: "seats".into(),
-        internal_callers: callers.map(|caller| ServiceName::new(caller)).collect(),
+        internal_callers: callers.copied().map(ServiceName::new).collect(),
         routes: Vec::new(),
         limits: Limits::default(),
         probe_budget: ProbeBudget::default(),
