A request that has crashed three targets is sent to no further one

Cause: nothing remembers the request. Retries are bounded for one attempt, and an attempt with a new id is a new call for every daemon.

Now the daemon beside a target that ends (its connections break and its port refuses the next one) keeps the digests of the requests that were running, tells all daemons at once, and stores them with its member object. A request under which three targets have crashed, and that has run to its end at none, is refused by entries and gates with 502, not-run, without retry-after, for ten minutes. A crash counts only against the request with the most crashes among those that were running; requests that have completed anywhere are cleared; if all targets ended within a second, one gate runs the request once more to tell a mass kill from a cause.

Ruled out: the entry's own retries (they double the sends of one attempt, the request comes with new ids), and load at the start of a target (the test's targets crash under one digest only).

--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -58,6 +58,8 @@
     let status = match refusal {
         Refusal::NoDocument | Refusal::NoRoute => StatusCode::NOT_FOUND,
         Refusal::NotPublic | Refusal::CallerNotAllowed => StatusCode::FORBIDDEN,
+        // Without `retry-after`: the request would only be refused again.
+        Refusal::CrashesTargets => StatusCode::BAD_GATEWAY,
         // Without a ticket the caller did not cause the conflict.
         Refusal::WrongService | Refusal::WrongRequest | Refusal::Void if had_ticket => {
             StatusCode::CONFLICT
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -53,7 +53,7 @@
     /// Whether the call must not run more than once.
     pub at_most_once: bool,
     /// Digest of method, path and body; a ticket is valid for one request only.
-    pub fingerprint: u64,
+    pub fingerprint: id::Fingerprint,
     /// Whether the sender issued the id itself; otherwise it comes from a caller's ticket.
     pub issued_by_sender: bool,
 }
@@ -112,6 +112,8 @@
         WrongRequest { display("the ticket was used with a different request") }
         /// A bounded channel in the daemon is full.
         Overloaded { display("the daemon is overloaded") }
+        /// Several targets have crashed while they ran the same request.
+        CrashesTargets { display("the request crashes the targets that run it") }
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -78,7 +78,7 @@
     /// Whether the call must not run more than once.
     pub at_most_once: bool,
     /// Digest of method, path and body.
-    pub fingerprint: u64,
+    pub fingerprint: id::Fingerprint,
     /// Ticket that the caller sent.
     pub ticket: Option<id::Ticket>,
     /// Retries per hundred calls.
--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -26,7 +26,8 @@
         if reached_target {
             self.count_target_attempt(token);
         }
-        if !has_ticket && self.may_retry(now, token, reached_target) {
+        let is_final = has_ticket || refusal == Refusal::CrashesTargets;
+        if !is_final && self.may_retry(now, token, reached_target) {
             self.start_attempt(now, token, refusal, out);
         } else {
             self.finish_with(token, Err(refusal), out);
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -63,6 +63,9 @@
     }
 
     fn admit(&self, now: Duration, offer: &call::Offer) -> Result<queue::WaitingCall, Refusal> {
+        if self.is_quarantined(offer.fingerprint) {
+            return Err(Refusal::CrashesTargets);
+        }
         if let Some(refusal) = self.current_refusal(now) {
             return Err(refusal);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod pause;
 pub mod probe_share;
+pub mod quarantine;
 pub mod queue;
 pub mod records;
 pub mod replica;
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,396 @@
+//! Requests that crash their targets are told from those that run beside them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use pollenrouter_core::call::{Offer, Refusal, Reply};
+use pollenrouter_core::entry::{self, CallResult, Entry, Member};
+use pollenrouter_core::gate::target::TargetIncarnation;
+use pollenrouter_core::gate::{self, Announcement, Gate, Trial};
+use pollenrouter_core::hint::Hint;
+use pollenrouter_core::id::{CallId, Fingerprint, HostName};
+use pollenrouter_core::quarantine::{EVIDENCE_TTL, Evidence, Observer, Quarantined};
+use pollenrouter_core::service::{Limits, ProbeBudget, Service};
+use rstest::rstest;
+
+const POISON: Fingerprint = 1;
+const POPULAR: Fingerprint = 2;
+const RARE: Fingerprint = 3;
+/// Time between two crashes.
+const GAP: Duration = Duration::from_secs(2);
+/// Time that evidence takes to become effective, at most.
+const EFFECTIVE: Duration = Duration::from_secs(1);
+const SERVICE: &str = "seats";
+
+fn incarnation(number: u64) -> TargetIncarnation {
+    TargetIncarnation {
+        name: format!("i-{number}").into(),
+        started_ms: number,
+    }
+}
+
+/// Daemons that observe their targets and know each other's reports.
+struct Fleet {
+    hosts: Vec<(Observer, Evidence)>,
+    now: Duration,
+    crashes: u64,
+}
+
+impl Fleet {
+    fn new(hosts: usize) -> Self {
+        Self {
+            hosts: vec![(Observer::default(), Evidence::default()); hosts],
+            now: Duration::ZERO,
+            crashes: 0,
+        }
+    }
+
+    fn crash(&mut self, host: usize, running: &[Fingerprint]) {
+        self.crashes += 1;
+        for fingerprint in running {
+            let target = incarnation(self.crashes);
+            self.hosts[host]
+                .0
+                .record_crash(self.now, &target, *fingerprint);
+        }
+        self.exchange();
+        self.now += GAP;
+    }
+
+    fn complete(&mut self, host: usize, fingerprint: Fingerprint) {
+        let (observer, evidence) = &mut self.hosts[host];
+        observer.record_completed(self.now, fingerprint, evidence);
+        self.exchange();
+    }
+
+    /// Exchanges reports until none changes.
+    fn exchange(&mut self) {
+        loop {
+            let reports: Vec<_> = self
+                .hosts
+                .iter_mut()
+                .map(|(observer, _)| observer.take_changed(self.now))
+                .collect();
+            if reports.iter().all(Option::is_none) {
+                return;
+            }
+            for (host, report) in reports.into_iter().enumerate() {
+                let Some(report) = report else {
+                    continue;
+                };
+                for (observer, evidence) in &mut self.hosts {
+                    evidence.apply(self.now, format!("host-{host}").into(), report.clone());
+                    observer.clear_completed(self.now, evidence);
+                }
+            }
+        }
+    }
+
+    /// What every host keeps from its target.
+    fn quarantined(&self) -> Quarantined {
+        let sets: BTreeSet<Quarantined> = self
+            .hosts
+            .iter()
+            .map(|(_, evidence)| evidence.quarantined(self.now + EFFECTIVE))
+            .collect();
+        assert_eq!(sets.len(), 1, "hosts disagree: {sets:?}");
+        sets.into_iter().flatten().collect()
+    }
+}
+
+struct Case {
+    play: fn(&mut Fleet),
+    quarantined: &'static [Fingerprint],
+    /// Host on which these requests may be tried.
+    trial_host: Option<&'static str>,
+}
+
+const THREE_CRASHES: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[POISON, 10 + host as u64]);
+        }
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
+const TWO_CRASHES: Case = Case {
+    play: |fleet| {
+        fleet.crash(0, &[POISON]);
+        fleet.crash(1, &[POISON]);
+    },
+    quarantined: &[],
+    trial_host: None,
+};
+const ONE_HOST: Case = Case {
+    play: |fleet| {
+        for _ in 0..3 {
+            fleet.crash(0, &[POISON]);
+        }
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
+const CALLS_OF_ONE_CRASH: Case = Case {
+    play: |fleet| fleet.crash(0, &[POISON, POISON, POISON, POISON]),
+    quarantined: &[],
+    trial_host: None,
+};
+const KILLED_UNDER_A_POPULAR_READ: Case = Case {
+    play: |fleet| {
+        fleet.complete(3, POPULAR);
+        for host in 0..3 {
+            fleet.crash(host, &[POPULAR]);
+        }
+    },
+    quarantined: &[],
+    trial_host: None,
+};
+const COMPLETED_LATER: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[POPULAR]);
+        }
+        fleet.complete(3, POPULAR);
+    },
+    quarantined: &[],
+    trial_host: None,
+};
+const BESIDE_THE_CAUSE: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[POISON, RARE]);
+        }
+        fleet.crash(3, &[POISON]);
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
+const TWO_CAUSES: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[POISON]);
+            fleet.crash(host, &[RARE]);
+        }
+        fleet.complete(0, POPULAR);
+    },
+    quarantined: &[POISON, RARE],
+    trial_host: None,
+};
+const FORGOTTEN: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[POISON]);
+        }
+        fleet.now += EVIDENCE_TTL;
+        fleet.exchange();
+    },
+    quarantined: &[],
+    trial_host: None,
+};
+const ALL_KILLED_TOGETHER: Case = Case {
+    play: |fleet| {
+        for host in 0..4 {
+            fleet.crash(host, &[POPULAR]);
+            fleet.now -= GAP;
+        }
+    },
+    quarantined: &[POPULAR],
+    trial_host: Some("host-0"),
+};
+const COMPLETED_ON_TRIAL: Case = Case {
+    play: |fleet| {
+        (ALL_KILLED_TOGETHER.play)(fleet);
+        fleet.now += GAP;
+        fleet.complete(0, POPULAR);
+    },
+    quarantined: &[],
+    trial_host: None,
+};
+const CRASHED_ON_TRIAL: Case = Case {
+    play: |fleet| {
+        (ALL_KILLED_TOGETHER.play)(fleet);
+        fleet.now += GAP;
+        fleet.crash(0, &[POPULAR]);
+    },
+    quarantined: &[POPULAR],
+    trial_host: None,
+};
+const RESTARTED_DAEMON: Case = Case {
+    play: |fleet| {
+        fleet.crash(0, &[POISON]);
+        fleet.crash(0, &[POISON]);
+        let report = fleet.hosts[0].0.clone();
+        let mut report = report;
+        report.record_crash(fleet.now, &incarnation(99), RARE);
+        let report = report.take_changed(fleet.now).expect("report must change");
+        fleet.hosts[0].0 = Observer::default();
+        fleet.hosts[0].0.restore(fleet.now, &report);
+        fleet.crash(0, &[POISON]);
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
+
+#[rstest]
+#[case::three_crashes(THREE_CRASHES)]
+#[case::two_crashes(TWO_CRASHES)]
+#[case::one_host(ONE_HOST)]
+#[case::calls_of_one_crash(CALLS_OF_ONE_CRASH)]
+#[case::killed_under_a_popular_read(KILLED_UNDER_A_POPULAR_READ)]
+#[case::completed_later(COMPLETED_LATER)]
+#[case::beside_the_cause(BESIDE_THE_CAUSE)]
+#[case::two_causes(TWO_CAUSES)]
+#[case::forgotten(FORGOTTEN)]
+#[case::all_killed_together(ALL_KILLED_TOGETHER)]
+#[case::completed_on_trial(COMPLETED_ON_TRIAL)]
+#[case::crashed_on_trial(CRASHED_ON_TRIAL)]
+#[case::restarted_daemon(RESTARTED_DAEMON)]
+fn only_requests_that_crash_targets_are_quarantined(#[case] case: Case) {
+    let mut fleet = Fleet::new(4);
+    (case.play)(&mut fleet);
+    let trial_host = case.trial_host.map(HostName::new);
+    let quarantined = case.quarantined.iter().map(|f| (*f, trial_host.clone()));
+    assert_eq!(fleet.quarantined(), quarantined.collect());
+}
+
+#[test]
+fn a_report_is_bounded() {
+    let mut observer = Observer::default();
+    for crash in 0..100 {
+        for fingerprint in 0..1000 {
+            observer.record_crash(GAP, &incarnation(crash), fingerprint);
+        }
+    }
+    let report = observer.take_changed(GAP).expect("report must change");
+    let calls = report.crashes.iter().map(|crash| crash.fingerprints.len());
+    assert!(report.crashes.len() <= 8, "{}", report.crashes.len());
+    assert!(calls.max() <= Some(64));
+}
+
+fn offer(seq: u64, fingerprint: Fingerprint) -> Offer {
+    Offer {
+        incarnation: 7,
+        id: CallId {
+            entry: 1,
+            seq,
+            nonce: 0,
+        },
+        service: SERVICE.into(),
+        route: "r".into(),
+        depth: 0,
+        rank: 0,
+        remaining: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        sheddable: false,
+        when_slow: pollenrouter_core::call::WhenSlow::Start,
+        at_most_once: true,
+        fingerprint,
+        issued_by_sender: true,
+    }
+}
+
+/// A gate with one slot.
+fn gate() -> Gate {
+    let mut gate = Gate::new(7, gate::RECORDS_MAX);
+    gate.step(
+        Duration::ZERO,
+        gate::Input::Document(Service {
+            name: SERVICE.into(),
+            internal_callers: Vec::new(),
+            routes: Vec::new(),
+            limits: Limits::default(),
+            probe_budget: ProbeBudget::default(),
+        }),
+    );
+    gate.step(
+        Duration::ZERO,
+        gate::Input::Announced(Announcement {
+            incarnation: incarnation(1),
+            sequence: 1,
+            service: SERVICE.into(),
+            slots: 1,
+            draining: false,
+            cold_start: Duration::ZERO,
+        }),
+    );
+    gate
+}
+
+#[test]
+fn a_quarantined_request_does_not_start_even_if_it_waits_already() {
+    let mut gate = gate();
+    let now = Duration::from_millis(1);
+    gate.step(now, gate::Input::Offer(offer(1, RARE)));
+    gate.step(now, gate::Input::Offer(offer(2, POISON)));
+    assert!(gate.is_waiting(offer(2, POISON).id));
+    let refused = |seq| {
+        let id = offer(seq, POISON).id;
+        gate::Output::Reply(id, Reply::NotRun(Refusal::CrashesTargets))
+    };
+    let out = gate.step(
+        now,
+        gate::Input::Quarantine([(POISON, Trial::Refused)].into()),
+    );
+    assert_eq!(out, [refused(2)]);
+    let out = gate.step(now, gate::Input::Offer(offer(3, POISON)));
+    assert_eq!(out, [refused(3)]);
+    gate.step(now, gate::Input::Quarantine(BTreeMap::new()));
+    gate.step(now, gate::Input::Offer(offer(4, POISON)));
+    assert!(gate.is_waiting(offer(4, POISON).id));
+}
+
+#[test]
+fn a_request_on_trial_runs_once_at_a_time() {
+    let mut gate = gate();
+    let now = Duration::from_millis(1);
+    gate.step(
+        now,
+        gate::Input::Quarantine([(POISON, Trial::OneAtATime)].into()),
+    );
+    let id = offer(1, POISON).id;
+    let out = gate.step(now, gate::Input::Offer(offer(1, POISON)));
+    assert!(matches!(out[..], [gate::Output::Start { .. }]), "{out:?}");
+    let out = gate.step(now, gate::Input::Offer(offer(2, POISON)));
+    let refused = Reply::NotRun(Refusal::CrashesTargets);
+    assert_eq!(out, [gate::Output::Reply(offer(2, POISON).id, refused)]);
+    let answered = gate::Outcome::Answered {
+        bytes: 0,
+        failed: false,
+    };
+    gate.step(now, gate::Input::Finished(id, answered));
+    let out = gate.step(now, gate::Input::Offer(offer(3, POISON)));
+    assert!(matches!(out[..], [gate::Output::Start { .. }]), "{out:?}");
+}
+
+#[test]
+fn an_entry_offers_a_quarantined_request_to_no_other_gate() {
+    let mut entry = Entry::new(1);
+    let members = ["a", "b", "c"].map(|host| Member {
+        host: host.into(),
+        incarnation: 7,
+        service: SERVICE.into(),
+        serving: true,
+        ..Member::default()
+    });
+    let now = Duration::ZERO;
+    entry.step(now, entry::Input::Members(members.into()));
+    let request = entry::Request {
+        token: 1,
+        service: SERVICE.into(),
+        remaining: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        max_attempts: 3,
+        fingerprint: POISON,
+        ..entry::Request::default()
+    };
+    let out = entry.step(now, entry::Input::Call(request));
+    let [entry::Output::Offer(host, _, offer)] = out.as_slice() else {
+        panic!("call must be offered: {out:?}");
+    };
+    let reply = Reply::NotRun(Refusal::CrashesTargets);
+    let reply = entry::Input::Reply(host.clone(), offer.id, reply, Hint::default());
+    let result = CallResult::NotRun(Refusal::CrashesTargets);
+    let done = entry::Output::Done(1, result, None);
+    assert_eq!(entry.step(now, reply), [done]);
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client with connection reuse that never sends a request twice.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -89,6 +90,13 @@
         }
     }
 
+    /// Whether connections are refused, as after the end of the process that listened.
+    pub async fn is_refused(&self) -> bool {
+        let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connected = connecting.await;
+        matches!(connected, Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
+    }
+
     fn pooled(&self, connection: Connection) -> PooledConnection {
         PooledConnection {
             connection: Some(connection),
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use pollenrouter_core::gate::target::TargetIncarnation;
-use pollenrouter_core::id;
+use pollenrouter_core::{id, quarantine};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -18,6 +18,8 @@
 /// Key prefix of departures that only daemons store, while the platform is unavailable; the
 /// host and the incarnation of the target follow.
 pub const DEPARTURES: &str = "departures/";
+/// Key prefix of the crashes of targets, which daemons tell each other at once; the host follows.
+pub const CRASHES: &str = "crashes/";
 /// Maximum number of departed incarnations that a member's object keeps; a host has one target at a time.
 pub const DEPARTED_MAX: usize = 16;
 /// Maximum number of changes that an object keeps.
@@ -61,6 +63,9 @@
     /// Incarnations of targets on the host that have departed, oldest first.
     #[serde(default)]
     pub departed: Vec<TargetIncarnation>,
+    /// Crashes of targets on the host, kept for the case that all daemons restart.
+    #[serde(default)]
+    pub crashes: quarantine::Report,
     /// Latest changes, oldest first.
     pub changes: Vec<Change>,
 }
@@ -122,6 +127,12 @@
     .into()
 }
 
+/// Key of the crashes of targets on a host.
+#[must_use]
+pub fn crashes_key(host: &str) -> SmolStr {
+    format!("{CRASHES}{host}").into()
+}
+
 /// Key of a member.
 #[must_use]
 pub fn member_key(host: &str) -> SmolStr {
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -11,7 +11,7 @@
 use pollenrouter_caller::message::{Call, CallerResult};
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
-use pollenrouter_core::{gate, http_message, id, pause, service};
+use pollenrouter_core::{gate, http_message, id, pause, quarantine, service};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_target::message as target;
@@ -86,6 +86,7 @@
     channels: Channels,
     instruments: Instruments,
     request_id_header: &'static str,
+    quarantined: quarantine::Quarantined,
 }
 
 /// Configuration of [`Calls`].
@@ -151,6 +152,7 @@
             channels,
             instruments,
             request_id_header: config.request_id_header,
+            quarantined: quarantine::Quarantined::new(),
         }
     }
 
@@ -207,6 +209,33 @@
         self.process(Input::Entry(entry::Input::Members(members)));
     }
 
+    /// Sets the requests that are kept from targets.
+    pub fn set_quarantined(&mut self, quarantined: quarantine::Quarantined) {
+        let at_gate = quarantined.iter().map(|(fingerprint, trial_host)| {
+            let trial = if trial_host.as_ref() == Some(&self.host) {
+                gate::Trial::OneAtATime
+            } else {
+                gate::Trial::Refused
+            };
+            (*fingerprint, trial)
+        });
+        let at_gate = at_gate.collect();
+        self.quarantined = quarantined;
+        self.process(Input::Gate(gate::Input::Quarantine(at_gate)));
+    }
+
+    /// Requests that are kept from targets.
+    pub fn quarantined(&self) -> &quarantine::Quarantined {
+        &self.quarantined
+    }
+
+    /// Whether a request is refused without an offer to a gate.
+    fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
+        self.quarantined
+            .get(&fingerprint)
+            .is_some_and(Option::is_none)
+    }
+
     /// Sets the document of the target's service.
     pub fn set_document(&mut self, service: service::Service) {
         self.answer_max_bytes = service.limits.answer_bytes;
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use log::info;
 use pollenrouter_caller::message::{Call, CallerResult, CallerResultKind};
 use pollenrouter_core::call::{Refusal, UnknownReason};
-use pollenrouter_core::{entry, http_message};
+use pollenrouter_core::{entry, http_message, id};
 use pollenrouter_daemon::message::Request;
 use smol_str::SmolStr;
 
@@ -43,6 +44,13 @@
             retry_slack,
             sheddable,
         } = routed_call;
+        let fingerprint = routes::fingerprint(&call.head, &call.body);
+        // The gate that a ticket names may have the answer to an earlier attempt.
+        if call.ticket.is_none() && self.is_quarantined(fingerprint) {
+            self.log_quarantined(&call, fingerprint);
+            self.refuse(call, Refusal::CrashesTargets);
+            return;
+        }
         let call = *call;
         let policy = call.route.policy;
         let started_at = self.now();
@@ -66,7 +74,7 @@
                 .map(|stated| stated.saturating_sub(call.waited)),
             max_attempts: policy.attempts,
             at_most_once: !policy.repeatable || call.ticket.is_some(),
-            fingerprint: routes::fingerprint(&call.head, &call.body),
+            fingerprint,
             ticket: call.ticket,
             retry_percent,
             retry_slack,
@@ -89,6 +97,17 @@
         self.process(Input::Entry(entry::Input::Call(request)));
     }
 
+    fn log_quarantined(&self, call: &Call, fingerprint: id::Fingerprint) {
+        info!(
+            request:% = self.request_id(&call.head),
+            service:% = call.service,
+            route:% = call.route.name,
+            digest:% = format_args!("{fingerprint:016x}"),
+            outcome = "not-run";
+            "call failed: {}", Refusal::CrashesTargets
+        );
+    }
+
     /// Returns the id that the caller gave its request, or an empty string.
     pub(super) fn request_id(&self, head: &http_message::RequestHead) -> SmolStr {
         let name = self.request_id_header;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -1,6 +1,7 @@
 //! One daemon's view of the fleet: members, active documents and gossip.
 
 mod activation;
+mod crashes;
 mod departures;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +12,9 @@
 use log::{info, warn};
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::membership::{self, Membership};
-use pollenrouter_core::{documents, entry, id, probe_share, replica, service, startup_sync, table};
+use pollenrouter_core::{
+    documents, entry, id, probe_share, quarantine, replica, service, startup_sync, table,
+};
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
 use pollenrouter_platform::client::Listing;
@@ -92,6 +95,10 @@
     departure_replicas: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
     startup_sync: startup_sync::StartupSync,
     is_synced: bool,
+    /// Crashes of targets on this host.
+    crash_observer: quarantine::Observer,
+    /// Crashes of targets in the whole fleet.
+    crash_evidence: quarantine::Evidence,
     shared: SharedState,
 }
 
@@ -110,6 +117,8 @@
             departure_replicas: BTreeMap::new(),
             startup_sync: startup_sync::StartupSync::default(),
             is_synced: false,
+            crash_observer: quarantine::Observer::default(),
+            crash_evidence: quarantine::Evidence::default(),
             own,
             shared,
         };
@@ -289,6 +298,10 @@
             effects.extend(self.parse_departure(object).map(Effect::ApplyDeparture));
             return false;
         }
+        if let Some(host) = object.key.strip_prefix(object::CRASHES) {
+            self.apply_crashes(host, &object.value);
+            return false;
+        }
         if object.key.starts_with(object::TABLES) {
             self.apply_table_object(object, effects);
             return false;
@@ -304,6 +317,7 @@
     }
 
     fn apply_member(&mut self, member: Member, version: id::Version, effects: &mut Vec<Effect>) {
+        self.apply_stored_crashes(&member);
         let is_own_incarnation =
             member.host == self.own.host && member.incarnation == self.own.incarnation;
         if is_own_incarnation {
--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -221,6 +221,9 @@
     let mut member = member.clone();
     if let Some(stored) = stored.and_then(parse_member) {
         member.changes = stored.changes;
+        if member.incarnation != stored.incarnation {
+            member.crashes.add_earlier(stored.crashes);
+        }
         for incarnation in std::mem::replace(&mut member.departed, stored.departed) {
             target::record_departure(&mut member.departed, incarnation, object::DEPARTED_MAX);
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,6 +7,7 @@
 
 use log::info;
 use pollenrouter_caller::message as caller;
+use pollenrouter_core::gate::Outcome;
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::{bucket, id, membership};
 use pollenrouter_daemon::message as daemon;
@@ -102,6 +103,7 @@
             }
             Event::Tick => {
                 self.calls.tick();
+                self.update_quarantine();
                 self.replicate_overdue_departures();
                 self.close_listeners_if_due();
             }
@@ -176,6 +178,7 @@
             target::Event::LoadReported(report) => self.calls.handle_load_report(report),
             target::Event::LoadUnavailable => self.calls.handle_load_unavailable(),
             target::Event::CallFinished(id, outcome, answer) => {
+                self.record_call_end(id, outcome);
                 self.calls.handle_finished(id, outcome, answer);
             }
             target::Event::ProbeFinished(healthy, took) => {
@@ -185,6 +188,27 @@
         }
     }
 
+    fn record_call_end(&mut self, id: id::CallId, outcome: Outcome) {
+        let gate = self.calls.gate();
+        if let (Some(fingerprint), Some(target)) = (gate.fingerprint(id), gate.target_incarnation())
+        {
+            self.fleet.on_call_finished(target, fingerprint, outcome);
+        }
+    }
+
+    /// Publishes new evidence on crashes of the target, and applies that of the fleet.
+    fn update_quarantine(&mut self) {
+        let effects = self.fleet.publish_crashes();
+        self.apply_effects(effects);
+        let quarantined = self.fleet.quarantined();
+        if quarantined == *self.calls.quarantined() {
+            return;
+        }
+        let digests: Vec<String> = quarantined.keys().map(|f| format!("{f:016x}")).collect();
+        info!(digests:% = digests.join(" "); "quarantine changed");
+        self.calls.set_quarantined(quarantined);
+    }
+
     fn handle_lifecycle(
         &mut self,
         message: target::LifecycleMessage,
@@ -250,6 +274,7 @@
 
     fn run_membership_round(&mut self) {
         self.update_state();
+        self.fleet.store_crashes();
         let effects = self.fleet.on_round();
         self.apply_effects(effects);
         self.probe_target();
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -55,9 +55,9 @@
     Ok(())
 }
 
-/// Digest of method, path and body that binds a ticket to one request.
-pub fn fingerprint(head: &http_message::RequestHead, body: &Bytes) -> u64 {
+/// Digest by which daemons recognize a request that is sent again.
+pub fn fingerprint(head: &http_message::RequestHead, body: &Bytes) -> id::Fingerprint {
     let mut hasher = DefaultHasher::new();
-    (&head.method, &head.path, body).hash(&mut hasher);
+    (&head.host, &head.method, &head.path, body).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -10,7 +10,7 @@
 
 use log::{info, warn};
 use pollenrouter_caller::listener as callers;
-use pollenrouter_core::{id, membership, service, table};
+use pollenrouter_core::{id, membership, quarantine, service, table};
 use pollenrouter_daemon::{keys, message as daemon, protocol, tls};
 use pollenrouter_http::clock;
 use pollenrouter_http::convention::Convention;
@@ -196,6 +196,7 @@
             MemberState::Leaving
         },
         departed: Vec::new(),
+        crashes: quarantine::Report::default(),
         changes: Vec::new(),
     }
 }
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -159,14 +159,19 @@
             }
             Err(_) => return Err(self.log_lost(&call, "no answer in time")),
             Ok(Err(client::ClientError::ConnectionLost(err))) => {
-                return Err(self.log_lost(&call, &err.to_string()));
+                return Err(self.broken_off(&client, &call, &err.to_string()).await);
             }
         };
         let (parts, body) = response.into_parts();
         let max_bytes = call.answer_max_bytes;
-        let body = body::read_until(body, max_bytes, deadline, &self.answer_memory)
-            .await
-            .map_err(|err| self.log_lost(&call, &err.to_string()))?;
+        let body = body::read_until(body, max_bytes, deadline, &self.answer_memory).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(body::BodyError::Incomplete(reason)) => {
+                return Err(self.broken_off(&client, &call, &reason).await);
+            }
+            Err(err) => return Err(self.log_lost(&call, &err.to_string())),
+        };
         let head = http_message::ResponseHead {
             status: parts.status.as_u16(),
             headers: head::end_to_end(&parts.headers),
@@ -211,6 +216,21 @@
         Ok(is_own && answered_id.is_some())
     }
 
+    /// Outcome of a call whose connection broke: the target has ended if it accepts no other.
+    async fn broken_off(
+        &self,
+        client: &client::Client,
+        call: &OutboundCall,
+        reason: &str,
+    ) -> gate::Outcome {
+        let outcome = self.log_lost(call, reason);
+        if client.is_refused().await {
+            gate::Outcome::Crashed
+        } else {
+            outcome
+        }
+    }
+
     /// Logs why a call was lost, and returns [`gate::Outcome::Lost`].
     fn log_lost(&self, call: &OutboundCall, reason: &str) -> gate::Outcome {
         let name = self.convention.request_id_header;
