Evidence on crashes settles with many popular requests and unnamed targets

With more than 64 requests that had both crashed beside others and completed, a host replaced one completed suspect by another for ever, with a message to all daemons each time; and the crashes of a target without a name counted as one moment, so that a request was tried again and again. Now only requests with two crashes need clearing, a full list takes no more, and crashes are numbered. Both have a test in core/tests/quarantine.rs.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,8 +1,8 @@
 //! Requests that crash the targets that run them.
 //!
-//! Every call that was running when its target ended is a suspect; most of them are innocent. A
-//! request is quarantined, that is sent to no target, once several targets have ended under it
-//! and it has run to its end at none.
+//! Most of the calls that were running when a target ended are innocent. A request is quarantined,
+//! that is sent to no target, once several targets have ended under it and it has run to its end
+//! at none.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -15,6 +15,8 @@
 /// Number of crashes from which a request is quarantined. With fewer, the requests that happen to
 /// run beside a crash could not be told from its cause.
 pub const CRASHES_MIN: usize = 3;
+/// Number of crashes from which a run to the end of a request is reported.
+const SUSPECT_CRASHES_MIN: usize = CRASHES_MIN - 1;
 /// Evidence is forgotten after this long, so that a repaired target is tried again.
 pub const EVIDENCE_TTL: Duration = Duration::from_mins(10);
 /// Time for the daemons that have seen a request complete to report so, before it is
@@ -39,6 +41,8 @@
 pub struct Crash {
     /// The target that ended.
     pub target: TargetIncarnation,
+    /// Number among the crashes on its host; targets may have no name.
+    pub number: u64,
     /// The requests that were running.
     pub fingerprints: Vec<id::Fingerprint>,
 }
@@ -52,12 +56,18 @@
     pub completed: Vec<id::Fingerprint>,
 }
 
+impl Crash {
+    fn is_same(&self, other: &Self) -> bool {
+        (&self.target, self.number) == (&other.target, other.number)
+    }
+}
+
 impl Report {
     /// Adds what an earlier incarnation of the daemon has seen.
     pub fn add_earlier(&mut self, mut earlier: Self) {
         earlier
             .crashes
-            .retain(|crash| !self.crashes.contains(crash));
+            .retain(|crash| !self.crashes.iter().any(|known| known.is_same(crash)));
         earlier.crashes.append(&mut self.crashes);
         let excess = earlier.crashes.len().saturating_sub(CRASHES_MAX);
         earlier.crashes.drain(..excess);
@@ -103,8 +113,10 @@
             }
             return;
         }
+        let latest = self.crashes.iter().map(|(_, crash)| crash.number).max();
         let crash = Crash {
             target: target.clone(),
+            number: latest.unwrap_or(0) + 1,
             fingerprints: vec![fingerprint],
         };
         self.crashes.push_back((now, crash));
@@ -145,20 +157,18 @@
         if known.any(|(_, completed)| *completed == fingerprint) {
             return;
         }
-        self.completed_suspects.push_back((now, fingerprint));
-        if self.completed_suspects.len() > FINGERPRINTS_MAX {
-            self.completed_suspects.pop_front();
+        // A suspect in place of another one would only swap their states, again and again.
+        if self.completed_suspects.len() < FINGERPRINTS_MAX {
+            self.completed_suspects.push_back((now, fingerprint));
+            self.is_changed = true;
         }
-        self.is_changed = true;
     }
 
     /// Takes over the evidence of an earlier incarnation of the daemon.
     pub fn restore(&mut self, now: Duration, report: &Report) {
         for crash in report.crashes.iter().rev() {
             let mut known = self.crashes.iter();
-            if known.all(|(_, known)| known.target != crash.target)
-                && self.crashes.len() < CRASHES_MAX
-            {
+            if known.all(|(_, known)| !known.is_same(crash)) && self.crashes.len() < CRASHES_MAX {
                 self.crashes.push_front((now, crash.clone()));
                 self.is_changed = true;
             }
@@ -199,7 +209,7 @@
     /// Reports and when they arrived, by host.
     reports: BTreeMap<id::HostName, (Duration, Report)>,
     /// When each crash became known.
-    crash_times: BTreeMap<(id::HostName, TargetIncarnation), Duration>,
+    crash_times: BTreeMap<(id::HostName, TargetIncarnation, u64), Duration>,
     suspects: BTreeSet<id::Fingerprint>,
     /// Requests that the evidence is against, and since when.
     convicted: BTreeMap<id::Fingerprint, Conviction>,
@@ -215,7 +225,7 @@
     /// Replaces the report of one host.
     pub fn apply(&mut self, now: Duration, host: id::HostName, report: Report) {
         for crash in &report.crashes {
-            let key = (host.clone(), crash.target.clone());
+            let key = (host.clone(), crash.target.clone(), crash.number);
             self.crash_times.entry(key).or_insert(now);
         }
         self.reports.insert(host, (now, report));
@@ -238,7 +248,7 @@
         }
     }
 
-    /// Requests that were running when a target ended, and of which no run to the end is known.
+    /// Requests that were running in several crashes, and of which no run to the end is known.
     #[must_use]
     pub fn suspects(&self) -> &BTreeSet<id::Fingerprint> {
         &self.suspects
@@ -258,12 +268,15 @@
 
     fn evaluate(&mut self, now: Duration) {
         let reports = &self.reports;
-        self.crash_times.retain(|(host, target), _| {
-            let report = reports.get(host).map(|(_, report)| report);
-            report.is_some_and(|report| report.crashes.iter().any(|c| c.target == *target))
+        self.crash_times.retain(|(host, target, number), _| {
+            let crashes = reports.get(host).map(|(_, report)| &report.crashes);
+            let mut crashes = crashes.into_iter().flatten();
+            crashes.any(|crash| (&crash.target, crash.number) == (target, *number))
         });
         let crashes = self.crashes();
-        self.suspects = crashes.iter().flatten().copied().collect();
+        let counts = counts(&crashes).into_iter();
+        let suspects = counts.filter(|(_, count)| *count >= SUSPECT_CRASHES_MIN);
+        self.suspects = suspects.map(|(fingerprint, _)| fingerprint).collect();
         let convicted = convicted(crashes);
         let mut earlier = std::mem::take(&mut self.convicted);
         for fingerprint in convicted {
@@ -282,12 +295,12 @@
             let crashes = report.crashes.iter();
             crashes
                 .filter(|crash| crash.fingerprints.contains(&fingerprint))
-                .map(|crash| (host.clone(), crash.target.clone()))
+                .map(|crash| (host.clone(), crash.target.clone(), crash.number))
         });
         let crashes: Vec<_> = crashes.collect();
         let times = || crashes.iter().filter_map(|key| self.crash_times.get(key));
         let (first, last) = (times().min()?, times().max()?);
-        let hosts = crashes.iter().map(|(host, _)| host);
+        let hosts = crashes.iter().map(|(host, ..)| host);
         (*last <= *first + WAVE).then(|| hosts.min().cloned())?
     }
 
@@ -312,10 +325,7 @@
 fn convicted(mut crashes: Vec<Vec<id::Fingerprint>>) -> BTreeSet<id::Fingerprint> {
     let mut convicted = BTreeSet::new();
     loop {
-        let mut counts: BTreeMap<id::Fingerprint, usize> = BTreeMap::new();
-        for fingerprint in crashes.iter().flatten() {
-            *counts.entry(*fingerprint).or_default() += 1;
-        }
+        let mut counts = counts(&crashes);
         let most = counts.values().copied().max().unwrap_or(0);
         if most < CRASHES_MIN {
             return convicted;
@@ -325,3 +335,12 @@
         convicted.extend(counts.into_keys());
     }
 }
+
+/// Number of crashes of each request.
+fn counts(crashes: &[Vec<id::Fingerprint>]) -> BTreeMap<id::Fingerprint, usize> {
+    let mut counts = BTreeMap::new();
+    for fingerprint in crashes.iter().flatten() {
+        *counts.entry(*fingerprint).or_default() += 1;
+    }
+    counts
+}
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -131,6 +131,18 @@
     quarantined: &[POISON],
     trial_host: None,
 };
+const UNNAMED_TARGET: Case = Case {
+    play: |fleet| {
+        for _ in 0..3 {
+            let target = TargetIncarnation::default();
+            fleet.hosts[0].0.record_crash(fleet.now, &target, POISON);
+            fleet.exchange();
+            fleet.now += GAP;
+        }
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
 const CALLS_OF_ONE_CRASH: Case = Case {
     play: |fleet| fleet.crash(0, &[POISON, POISON, POISON, POISON]),
     quarantined: &[],
@@ -236,6 +248,7 @@
 #[case::three_crashes(THREE_CRASHES)]
 #[case::two_crashes(TWO_CRASHES)]
 #[case::one_host(ONE_HOST)]
+#[case::unnamed_target(UNNAMED_TARGET)]
 #[case::calls_of_one_crash(CALLS_OF_ONE_CRASH)]
 #[case::killed_under_a_popular_read(KILLED_UNDER_A_POPULAR_READ)]
 #[case::completed_later(COMPLETED_LATER)]
@@ -254,6 +267,22 @@
     assert_eq!(fleet.quarantined(), quarantined.collect());
 }
 
+/// Guards against daemons that tell each other for ever which of many requests have completed.
+#[test]
+fn reports_settle_with_many_popular_requests() {
+    let mut fleet = Fleet::new(4);
+    let popular: Vec<Fingerprint> = (100..1000).collect();
+    for fingerprint in &popular {
+        fleet.complete(3, *fingerprint);
+    }
+    for chunk in popular.chunks(64) {
+        for host in 0..2 {
+            fleet.crash(host, chunk);
+        }
+    }
+    assert!(fleet.quarantined().is_empty());
+}
+
 #[test]
 fn a_report_is_bounded() {
     let mut observer = Observer::default();
