Stored evidence on crashes counts at once after a restart

What callers saw: after a restart of all daemons a request that crashes targets ended each of four targets once more. Cause, from a trace of the evidence: every daemon knew the crashes from the members' objects before its gate opened, but the half second in which others may clear a request began anew with each daemon, and the request ran meanwhile. That time has passed before a report is stored.

Ruled out: evidence that was not stored or not read.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -224,18 +224,24 @@
 impl Evidence {
     /// Replaces the report of one host.
     pub fn apply(&mut self, now: Duration, host: id::HostName, report: Report) {
+        self.insert(now, host, report);
+        self.evaluate(now);
+    }
+
+    fn insert(&mut self, now: Duration, host: id::HostName, report: Report) {
         for crash in &report.crashes {
             let key = (host.clone(), crash.target.clone(), crash.number);
             self.crash_times.entry(key).or_insert(now);
         }
         self.reports.insert(host, (now, report));
-        self.evaluate(now);
     }
 
     /// Applies the report of one host that the platform has stored, unless a newer one is known.
+    /// The time for clearance has passed since it was made.
     pub fn apply_stored(&mut self, now: Duration, host: &id::HostName, report: &Report) {
         if !report.is_empty() && !self.reports.contains_key(host) {
-            self.apply(now, host.clone(), report.clone());
+            self.insert(now, host.clone(), report.clone());
+            self.evaluate(now.saturating_sub(CLEARANCE));
         }
     }
 
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -267,6 +267,20 @@
     assert_eq!(fleet.quarantined(), quarantined.collect());
 }
 
+/// Guards against runs in the first moments after a restart of the whole fleet.
+#[test]
+fn stored_evidence_counts_at_once() {
+    let now = GAP;
+    let mut evidence = Evidence::default();
+    for host in 0..3 {
+        let mut observer = Observer::default();
+        observer.record_crash(now, &incarnation(host), POISON);
+        let report = observer.report();
+        evidence.apply_stored(now, &format!("host-{host}").into(), &report);
+    }
+    assert!(evidence.quarantined(now).contains_key(&POISON));
+}
+
 /// Guards against daemons that tell each other for ever which of many requests have completed.
 #[test]
 fn reports_settle_with_many_popular_requests() {
