A request that has crashed on trial is not tried again after a restart

Cause, from the same trace: a daemon that starts reads all crashes at one moment, takes them for one wave, and lets one gate run the request once more, after each restart of the fleet. Now two crashes on one host are no wave, and a trial that crashed leaves its host with two.

Evidence: a_request_that_has_crashed_on_trial_is_not_tried_after_a_restart failed first (trial at host-0) and holds now. Ruled out: the time of each crash in the report, as clocks differ between hosts. Conclusion: a restart of the whole fleet costs one target at most, and only where no trial has been made.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -306,8 +306,13 @@
         let crashes: Vec<_> = crashes.collect();
         let times = || crashes.iter().filter_map(|key| self.crash_times.get(key));
         let (first, last) = (times().min()?, times().max()?);
-        let hosts = crashes.iter().map(|(host, ..)| host);
-        (*last <= *first + WAVE).then(|| hosts.min().cloned())?
+        let hosts: BTreeSet<&id::HostName> = crashes.iter().map(|(host, ..)| host).collect();
+        // Two crashes on one host are not one wave, however late they became known.
+        let is_wave = *last <= *first + WAVE && hosts.len() == crashes.len();
+        hosts
+            .first()
+            .filter(|_| is_wave)
+            .map(|host| (*host).clone())
     }
 
     /// The suspects of each crash.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -281,6 +281,23 @@
     assert!(evidence.quarantined(now).contains_key(&POISON));
 }
 
+/// Guards against one more trial by each daemon that reads old crashes all at the same moment.
+#[test]
+fn a_request_that_has_crashed_on_trial_is_not_tried_after_a_restart() {
+    let now = GAP;
+    let mut evidence = Evidence::default();
+    for host in 0..3 {
+        let mut observer = Observer::default();
+        observer.record_crash(now, &incarnation(host), POISON);
+        if host == 0 {
+            observer.record_crash(now + GAP, &incarnation(10), POISON);
+        }
+        let report = observer.report();
+        evidence.apply_stored(now, &format!("host-{host}").into(), &report);
+    }
+    assert_eq!(evidence.quarantined(now), [(POISON, None)].into());
+}
+
 /// Guards against daemons that tell each other for ever which of many requests have completed.
 #[test]
 fn reports_settle_with_many_popular_requests() {
