--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -161,8 +161,8 @@
         let (head, len) = match head::parse(self.input.bytes()) {
             Ok(None) if self.input.len() <= head_max_bytes => return false,
             Ok(Some((head, len))) if len <= head_max_bytes => (head, len),
-            Ok(_) => return self.fail_with(HeadError::TooLarge),
-            Err(err) => return self.fail_with(err),
+            Ok(_) => return self.reject_head(HeadError::TooLarge),
+            Err(err) => return self.reject_head(err),
         };
         let now = Instant::now();
         let arrived_at = self.input.arrival(len - 1).unwrap_or(now);
@@ -237,7 +237,8 @@
         });
     }
 
-    fn fail_with(&mut self, err: HeadError) -> bool {
+    /// Ends the connection with the response to an invalid head.
+    fn reject_head(&mut self, err: HeadError) -> bool {
         self.fail(response::head_error(&err), &err)
     }
 
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -74,7 +74,7 @@
     /// Why a call was not run. It never runs under the same id afterwards.
     #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
     pub enum Refusal {
-        /// The daemon has no service document for the service.
+        /// The daemon has no service document for the service. Sent by earlier versions only.
         NoDocument { display("no document of this service is in force") }
         /// The daemon has not read the service documents since its start.
         NotReady { display("the daemon has not read the documents yet") }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -9,6 +9,7 @@
 mod answer_cache;
 mod dispatch;
 mod known_calls;
+pub mod quarantine;
 mod speed;
 pub mod target;
 
@@ -60,15 +61,6 @@
     pub slowness: u32,
 }
 
-/// Whether a quarantined request may be tried at the target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Trial {
-    /// It is refused.
-    Refused,
-    /// It may run if it is not at work already.
-    OneAtATime,
-}
-
 /// Outcome of a call at the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
@@ -111,7 +103,7 @@
     /// A service document came into force.
     Document(service::Service),
     /// The requests that must not be sent to the target, or only one at a time.
-    Quarantine(BTreeMap<id::Fingerprint, Trial>),
+    Quarantine(quarantine::Trials),
     /// The daemon is about to stop.
     Drain,
     /// Time has passed.
@@ -162,7 +154,7 @@
     announcement_ttl: Duration,
     departures_loaded: bool,
     draining: bool,
-    quarantined: BTreeMap<id::Fingerprint, Trial>,
+    quarantined: quarantine::Trials,
     /// Rank of the most urgent calls that were delayed recently, and when the latest was.
     latest_delay: Option<(u8, Duration)>,
     waiting: Vec<queue::WaitingCall>,
@@ -188,7 +180,7 @@
             announcement_ttl: ANNOUNCEMENT_TTL,
             departures_loaded: true,
             draining: false,
-            quarantined: BTreeMap::new(),
+            quarantined: quarantine::Trials::new(),
             latest_delay: None,
             waiting: Vec::new(),
             running: BTreeMap::new(),
@@ -235,7 +227,7 @@
             Input::LoadNotReported => self.speed_tracker.record_missing_report(now),
             Input::DeparturesLoaded => self.departures_loaded = true,
             Input::Document(document) => self.document = Some(document),
-            Input::Quarantine(fingerprints) => self.set_quarantined(fingerprints, &mut out),
+            Input::Quarantine(trials) => self.set_quarantined(trials, &mut out),
             Input::Drain => self.draining = true,
             Input::Tick => self.expire_answers(now, &mut out),
         }
@@ -384,35 +376,6 @@
         }
     }
 
-    fn set_quarantined(
-        &mut self,
-        quarantined: BTreeMap<id::Fingerprint, Trial>,
-        out: &mut Vec<Output>,
-    ) {
-        self.quarantined = quarantined;
-        let waiting: Vec<id::CallId> = self.waiting.iter().map(|w| w.id).collect();
-        for id in waiting {
-            let fingerprint = self.fingerprint(id);
-            if fingerprint.is_some_and(|f| self.quarantined.contains_key(&f)) {
-                self.remove_waiting(id);
-                self.refuse(id, Refusal::CrashesTargets, None, out);
-            }
-        }
-    }
-
-    /// Whether a request must not be sent to the target at present.
-    fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
-        match self.quarantined.get(&fingerprint) {
-            None => false,
-            Some(Trial::Refused) => true,
-            Some(Trial::OneAtATime) => {
-                let waiting = self.waiting.iter().map(|w| &w.id);
-                let mut at_work = waiting.chain(self.running.keys());
-                at_work.any(|id| self.fingerprint(*id) == Some(fingerprint))
-            }
-        }
-    }
-
     fn record_outcome(&mut self, failed: bool) {
         self.outcomes.push_back(failed);
         if self.outcomes.len() > OUTCOME_WINDOW as usize {
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -213,9 +213,9 @@
     pub fn set_quarantined(&mut self, quarantined: quarantine::Quarantined) {
         let at_gate = quarantined.iter().map(|(fingerprint, trial_host)| {
             let trial = if trial_host.as_ref() == Some(&self.host) {
-                gate::Trial::OneAtATime
+                gate::quarantine::Trial::OneAtATime
             } else {
-                gate::Trial::Refused
+                gate::quarantine::Trial::Refused
             };
             (*fingerprint, trial)
         });
