A silent target no longer delays the answer to a broken call by half a second

Found by reading: after a connection breaks, the daemon looks whether the target's port refuses another one, and waited for that as long as for any connection, 500 ms. A closed port of the same host refuses at once, so 50 ms are enough. The check had no test of its own: a_target_that_has_ended_is_told_from_a_broken_connection is new and holds before and after.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,6 +17,8 @@
 use tokio::{task, time};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The system refuses a connection to a closed port of the same host within this time.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum size of a response head, and of the bytes that are read ahead of a body.
 const HEAD_MAX_BYTES: usize = 32 << 10;
 /// Connections that have been idle for longer are discarded. The limit is below the keep-alive
@@ -92,7 +94,7 @@
 
     /// Whether connections are refused, as after the end of the process that listened.
     pub async fn is_refused(&self) -> bool {
-        let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connecting = time::timeout(REFUSAL_TIMEOUT, TcpStream::connect(self.address));
         let connected = connecting.await;
         matches!(connected, Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
     }
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -1,6 +1,8 @@
 //! Calls to a target that breaks the protocol end as lost, in time, and do no harm to others.
 
 use std::collections::HashMap;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::{Arc, mpsc};
 use std::thread;
@@ -13,6 +15,7 @@
 use pollenrouter_http::{clock, convention};
 use pollenrouter_target::message::{Command, Event, OutboundCall};
 use pollenrouter_target::sender;
+use rstest::rstest;
 use tokio::{runtime, task, time};
 
 /// Far longer than anything that a test waits for.
@@ -31,10 +34,10 @@
 
 impl Client {
     fn start(target: &Target) -> Self {
-        Self::start_with_clock(target, clock::boot_time)
+        Self::start_with_clock(target.address, clock::boot_time)
     }
 
-    fn start_with_clock(target: &Target, clock: clock::Clock) -> Self {
+    fn start_with_clock(address: SocketAddr, clock: clock::Clock) -> Self {
         let (commands, mut received) = tokio::sync::mpsc::unbounded_channel::<Command>();
         let (tx, events) = mpsc::channel();
         thread::spawn(move || {
@@ -60,7 +63,7 @@
             next_seq: 0,
             deadline: DEADLINE,
         };
-        client.execute(Command::SetAddress(target.address));
+        client.execute(Command::SetAddress(address));
         client
     }
 
@@ -285,8 +288,42 @@
 #[test]
 fn a_call_whose_deadline_passed_during_a_suspension_is_not_sent() {
     let target = target(Fault::None);
-    let mut client = Client::start_with_clock(&target, after_suspension);
+    let mut client = Client::start_with_clock(target.address, after_suspension);
     let outcome = client.call("/good");
     assert_eq!(outcome, gate::Outcome::NotStarted(Refusal::Late));
     assert!(target.seen.try_recv().is_err());
 }
+
+struct BreakOff {
+    /// Whether the target still accepts connections.
+    listens: bool,
+    outcome: gate::Outcome,
+}
+
+const ENDED: BreakOff = BreakOff {
+    listens: false,
+    outcome: gate::Outcome::Crashed,
+};
+const CONNECTION_ONLY: BreakOff = BreakOff {
+    listens: true,
+    outcome: gate::Outcome::Lost,
+};
+
+/// Guards against calls that count as evidence of a crash though only their connection broke.
+#[rstest]
+#[case::ended(ENDED)]
+#[case::connection_only(CONNECTION_ONLY)]
+fn a_target_that_has_ended_is_told_from_a_broken_connection(#[case] case: BreakOff) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener must bind");
+    let address = listener.local_addr().expect("socket must have an address");
+    let mut client = Client::start_with_clock(address, clock::boot_time);
+    client.deadline = TIMEOUT;
+    client.send("/read");
+    let (mut stream, _) = listener.accept().expect("client must connect");
+    let mut buf = [0; 64];
+    assert!(stream.read(&mut buf).expect("request must arrive") > 0);
+    let listener = Some(listener).filter(|_| case.listens);
+    drop(stream);
+    assert_eq!(client.finished().1, case.outcome);
+    drop(listener);
+}
