Targets' stated rate limits and leavings are read and logged

The head of each answer that belongs to its request, and of each health answer, is read for a rate limit and for a statement that the target leaves; a change is logged, a value that cannot be read is logged once. Starts are counted. No logic changed.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -11,6 +11,7 @@
 mod known_calls;
 pub mod quarantine;
 mod speed;
+pub mod statement;
 pub mod target;
 
 use std::collections::{BTreeMap, VecDeque};
--- /dev/null
+++ b/crates/core/src/gate/statement.rs
@@ -0,0 +1,44 @@
+//! What a target states about itself with its answers.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::target::TargetIncarnation;
+use crate::rate::RateLimit;
+
+/// The rate that an answer names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum StatedRate {
+    /// The answer names no rate.
+    #[default]
+    None,
+    /// The rate that the target takes.
+    Limit(RateLimit),
+    /// A value that cannot be read.
+    Unreadable,
+}
+
+/// Statements of a target in the head of one answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Statement {
+    /// Target that answered.
+    pub target: TargetIncarnation,
+    /// When the request was sent.
+    pub asked_at: Duration,
+    /// Whether it answers a health check and not a call.
+    pub is_probe: bool,
+    /// Rate of calls that the target takes from all hosts together.
+    pub rate: StatedRate,
+    /// Whether the target is leaving.
+    pub leaving: bool,
+}
+
+impl fmt::Display for StatedRate {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::None => f.write_str("none"),
+            Self::Limit(limit) => limit.fmt(f),
+            Self::Unreadable => f.write_str("unreadable"),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod probe_share;
 pub mod quarantine;
 pub mod queue;
+pub mod rate;
 pub mod records;
 pub mod replica;
 pub mod ring;
--- a/crates/http/src/convention.rs
+++ b/crates/http/src/convention.rs
@@ -4,6 +4,9 @@
 /// percent of the usual duration.
 pub type ParseSlowness = fn(&str) -> Option<u32>;
 
+/// Parses a rate in calls per second from a header value.
+pub type ParseRate = fn(&str) -> Option<f64>;
+
 /// Header of a request that its response repeats.
 #[derive(Clone, Copy, Debug)]
 pub struct Echo {
@@ -47,6 +50,11 @@
     pub signature_header: Option<&'static str>,
     /// Response header with the target's load, and the parser for the slowness in it.
     pub load_header: Option<(&'static str, ParseSlowness)>,
+    /// Response header by which a target names the rate of calls that it takes, and the parser
+    /// for it.
+    pub rate_limit_header: (&'static str, ParseRate),
+    /// Response header, with the value `1`, by which a target states that it is leaving.
+    pub leaving_header: &'static str,
     /// Whether a call is cancelled by a separate request to the target. If false, the
     /// connection of the call is closed.
     pub cancels_by_request: bool,
@@ -77,9 +85,19 @@
     }),
     signature_header: None,
     load_header: None,
+    rate_limit_header: ("target-limit", parse_rate),
+    leaving_header: "target-leaving",
     cancels_by_request: true,
     health_path: "/.target/health",
     tickets: true,
     fractional_retry_after: false,
     ready_path: "/ready",
 };
+
+/// Parses a decimal number of at least 0.
+#[must_use]
+pub fn parse_rate(text: &str) -> Option<f64> {
+    let is_decimal = |b: u8| b.is_ascii_digit() || b == b'.';
+    let text = text.trim();
+    text.bytes().all(is_decimal).then(|| text.parse().ok())?
+}
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -146,7 +146,10 @@
 
     pub(super) fn apply_gate_output(&mut self, now: Duration, output: &gate::Output) {
         match *output {
-            gate::Output::Start { id, deadline } => self.send_to_target(id, deadline),
+            gate::Output::Start { id, deadline } => {
+                self.instruments.count_start();
+                self.send_to_target(id, deadline);
+            }
             gate::Output::RequestLoad => self.request_load(),
             gate::Output::Cancel(id) => {
                 // If the channel is full, the call runs to its end.
@@ -172,10 +175,11 @@
     /// Requests a load report from the target; a full channel counts as no report.
     fn request_load(&mut self) {
         self.instruments.count_load_request();
+        let target = self.gate.target_incarnation().cloned().unwrap_or_default();
         let sent = self
             .channels
             .target_commands
-            .try_send(target::Command::QueryLoad);
+            .try_send(target::Command::QueryLoad(target));
         if sent.is_err() {
             self.inputs
                 .push_back(Input::Gate(gate::Input::LoadNotReported));
@@ -203,11 +207,7 @@
             fingerprint: self.gate.fingerprint(id).unwrap_or_default(),
             deadline: self.clock_start + deadline,
             depth: offered.depth,
-            target: self
-                .gate
-                .target_incarnation()
-                .map(|incarnation| incarnation.name.clone())
-                .unwrap_or_default(),
+            target: self.gate.target_incarnation().cloned().unwrap_or_default(),
             at_most_once: offered.at_most_once,
             answer_max_bytes: self.answer_max_bytes,
         };
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -21,6 +21,7 @@
     waiting: Gauge<u64>,
     slowness: Gauge<u64>,
     load_requests: Counter<u64>,
+    starts: Counter<u64>,
     recorded_calls: Gauge<u64>,
     members: Gauge<u64>,
     _provider: SdkMeterProvider,
@@ -43,6 +44,7 @@
         waiting: meter.u64_gauge("pollenrouter_gate_waiting").build(),
         slowness: meter.u64_gauge("pollenrouter_gate_slowness").build(),
         load_requests: meter.u64_counter("pollenrouter_load_questions").build(),
+        starts: meter.u64_counter("pollenrouter_gate_starts").build(),
         recorded_calls: meter.u64_gauge("pollenrouter_gate_remembered").build(),
         members: meter.u64_gauge("pollenrouter_members").build(),
         _provider: provider,
@@ -88,6 +90,11 @@
         self.load_requests.add(1, &[]);
     }
 
+    /// Counts a call that starts at the target.
+    pub fn count_start(&self) {
+        self.starts.add(1, &[]);
+    }
+
     /// Sets the gauges for the load of the gate, its recorded calls and the members of
     /// the fleet.
     pub fn record_gauges(&self, hint: &hint::Hint, recorded_calls: usize, members: usize) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,6 +8,7 @@
 use log::info;
 use pollenrouter_caller::message as caller;
 use pollenrouter_core::gate::Outcome;
+use pollenrouter_core::gate::statement::{StatedRate, Statement};
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::{bucket, id, membership};
 use pollenrouter_daemon::message as daemon;
@@ -33,6 +34,8 @@
     fleet: Fleet,
     calls: Calls,
     service: Option<id::ServiceName>,
+    /// Rate and leaving, as last stated by the target.
+    stated: (StatedRate, bool),
     daemon_commands: mpsc::Sender<daemon::Command>,
     target_commands: mpsc::Sender<target::Command>,
     probe_bucket: bucket::Bucket,
@@ -60,6 +63,7 @@
             fleet,
             calls,
             service: None,
+            stated: Default::default(),
             daemon_commands,
             target_commands,
             probe_bucket: bucket::Bucket::default(),
@@ -176,6 +180,7 @@
                 self.handle_lifecycle(*message, reply_to);
             }
             target::Event::LoadReported(report) => self.calls.handle_load_report(report),
+            target::Event::Stated(statement) => self.handle_statement(&statement),
             target::Event::LoadUnavailable => self.calls.handle_load_unavailable(),
             target::Event::CallFinished(id, outcome, answer) => {
                 self.record_call_end(id, outcome);
@@ -188,6 +193,22 @@
         }
     }
 
+    /// Logs what a target states about itself when it changes.
+    fn handle_statement(&mut self, statement: &Statement) {
+        let stated = (statement.rate, statement.leaving);
+        if self.stated == stated {
+            return;
+        }
+        self.stated = stated;
+        info!(
+            by:% = statement.target.name,
+            rate:% = statement.rate,
+            leaving = statement.leaving,
+            in_health_answer = statement.is_probe;
+            "the target's statements changed"
+        );
+    }
+
     fn record_call_end(&mut self, id: id::CallId, outcome: Outcome) {
         let gate = self.calls.gate();
         if let (Some(fingerprint), Some(target)) = (gate.fingerprint(id), gate.target_incarnation())
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -18,8 +18,8 @@
     pub body: Bytes,
     /// Digest of the request, for logs.
     pub fingerprint: id::Fingerprint,
-    /// The only target that may run the call; empty if any target may.
-    pub target: id::TargetName,
+    /// The only target that may run the call; its name is empty if any target may.
+    pub target: gate::target::TargetIncarnation,
     /// Whether the call may run at most once.
     pub at_most_once: bool,
     /// When the call must be answered, by the clock of the sender.
@@ -48,8 +48,8 @@
     Cancel(id::CallId),
     /// Check the target's health.
     Probe,
-    /// Ask the target for its load.
-    QueryLoad,
+    /// Ask this target for its load.
+    QueryLoad(gate::target::TargetIncarnation),
     /// Send later calls to this address.
     SetAddress(net::SocketAddr),
 }
@@ -62,6 +62,8 @@
     LifecycleReceived(Box<LifecycleMessage>, oneshot::Sender<()>),
     /// The target reported its load.
     LoadReported(gate::LoadReport),
+    /// A target stated something about itself in the head of an answer, or states it no more.
+    Stated(gate::statement::Statement),
     /// The target did not report its load when asked.
     LoadUnavailable,
     /// A call to the target has ended.
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -13,6 +13,9 @@
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use log::warn;
 use pollenrouter_core::call::Refusal;
+use pollenrouter_core::gate::statement::{StatedRate, Statement};
+use pollenrouter_core::gate::target::TargetIncarnation;
+use pollenrouter_core::rate::RateLimit;
 use pollenrouter_core::{gate, http_message, id};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_http::convention::Convention;
@@ -58,6 +61,8 @@
     /// How long to wait for an answer after the call's deadline.
     answer_wait: Duration,
     answer_memory: Rc<body::Memory>,
+    /// Value of the rate limit header that was last found unreadable.
+    unreadable_rate: Rc<RefCell<Option<HeaderValue>>>,
     sink: Sink,
 }
 
@@ -73,6 +78,7 @@
             clock,
             answer_wait,
             answer_memory: Rc::default(),
+            unreadable_rate: Rc::default(),
             sink,
         }
     }
@@ -106,7 +112,7 @@
                 Command::Send(call) => sender.run_call(call).await,
                 Command::Cancel(id) => sender.cancel(id).await,
                 Command::Probe => sender.probe().await,
-                Command::QueryLoad => sender.query_load().await,
+                Command::QueryLoad(target) => sender.query_load(target).await,
                 Command::SetAddress(_) => {}
             }
         });
@@ -144,6 +150,7 @@
         }
         let request = self.build_request(client.address(), &call, remaining)?;
         let sent_id = self.echoed(request.headers());
+        let asked_at = (self.clock)();
         // The deadline holds for the whole answer, however slowly its bytes arrive.
         let deadline = time::Instant::now() + remaining + self.answer_wait;
         let idle_max = if call.at_most_once {
@@ -163,6 +170,16 @@
             }
         };
         let (parts, body) = response.into_parts();
+        let is_misdirected = self.convention.wrong_target_status == Some(parts.status.as_u16());
+        if self.belongs_to(sent_id.as_ref(), &parts) && !is_misdirected {
+            let statement = self.read_statement(&parts.headers);
+            let statement = Statement {
+                target: call.target.clone(),
+                asked_at,
+                ..statement
+            };
+            self.emit(Event::Stated(statement)).await;
+        }
         let max_bytes = call.answer_max_bytes;
         let body = body::read_until(body, max_bytes, deadline, &self.answer_memory).await;
         let body = match body {
@@ -201,10 +218,7 @@
         sent_id: Option<&HeaderValue>,
         answer: &Parts,
     ) -> Result<bool, gate::Outcome> {
-        let answered_id = self.echoed(&answer.headers);
-        let is_required = self.convention.echo.is_some_and(|echo| echo.is_required);
-        let is_own = answered_id.as_ref() == sent_id;
-        if !is_own && (is_required || answered_id.is_some()) {
+        if !self.belongs_to(sent_id, answer) {
             return Err(self.log_lost(call, "the answer belongs to another request"));
         }
         if let Some(name) = self.convention.signature_header
@@ -213,7 +227,44 @@
         {
             return Err(self.log_lost(call, "the answer has no signature"));
         }
-        Ok(is_own && answered_id.is_some())
+        let answered_id = self.echoed(&answer.headers);
+        Ok(answered_id.is_some() && answered_id.as_ref() == sent_id)
+    }
+
+    /// Whether an answer belongs to this request, as far as it shows.
+    fn belongs_to(&self, sent_id: Option<&HeaderValue>, answer: &Parts) -> bool {
+        let answered_id = self.echoed(&answer.headers);
+        let is_required = self.convention.echo.is_some_and(|echo| echo.is_required);
+        answered_id.as_ref() == sent_id || !is_required && answered_id.is_none()
+    }
+
+    /// What the headers of an answer state about the target.
+    fn read_statement(&self, headers: &HeaderMap) -> Statement {
+        let leaving = headers.get(self.convention.leaving_header);
+        Statement {
+            rate: self.read_rate(headers),
+            leaving: leaving.is_some_and(|value| value == "1"),
+            ..Statement::default()
+        }
+    }
+
+    fn read_rate(&self, headers: &HeaderMap) -> StatedRate {
+        let (name, parse) = self.convention.rate_limit_header;
+        let mut values = headers.get_all(name).iter();
+        let Some(value) = values.next() else {
+            return StatedRate::None;
+        };
+        let calls = value.to_str().ok().and_then(parse);
+        let limit = calls.and_then(RateLimit::per_second);
+        if let Some(limit) = limit.filter(|_| values.next().is_none()) {
+            return StatedRate::Limit(limit);
+        }
+        let mut unreadable = self.unreadable_rate.borrow_mut();
+        if unreadable.as_ref() != Some(value) {
+            warn!(value:? = value; "the target names a rate that cannot be read");
+            *unreadable = Some(value.clone());
+        }
+        StatedRate::Unreadable
     }
 
     /// Outcome of a call whose connection broke: the target has ended if it accepts no other.
@@ -240,7 +291,7 @@
             request:% = request.unwrap_or_default(),
             call:% = format_call_id(call.id),
             digest:% = format_args!("{:016x}", call.fingerprint),
-            by:% = call.target;
+            by:% = call.target.name;
             "call lost at the target: {reason}"
         );
         gate::Outcome::Lost
@@ -298,10 +349,21 @@
     }
 
     /// Asks for the load, which the target states in the answer to a health check.
-    async fn query_load(&self) {
+    async fn query_load(&self, target: TargetIncarnation) {
+        let asked_at = (self.clock)();
         let reply =
             self.send_without_body(Method::GET, self.convention.health_path, LOAD_QUERY_TIMEOUT);
-        let headers = reply.await.map(|parts| head::end_to_end(&parts.headers));
+        let parts = reply.await;
+        if let Some(parts) = &parts {
+            let statement = Statement {
+                target,
+                asked_at,
+                is_probe: true,
+                ..self.read_statement(&parts.headers)
+            };
+            self.emit(Event::Stated(statement)).await;
+        }
+        let headers = parts.map(|parts| head::end_to_end(&parts.headers));
         let event = headers
             .and_then(|headers| self.slowness(&headers))
             .map_or(Event::LoadUnavailable, |slowness| {
@@ -379,8 +441,8 @@
         set_header(headers, depth_header, &call.depth.to_string());
         set_header(
             headers,
-            target_header.filter(|_| !call.target.is_empty()),
-            &call.target,
+            target_header.filter(|_| !call.target.name.is_empty()),
+            &call.target.name,
         );
         Ok(request)
     }
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use pollenrouter_core::call::Refusal;
+use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::{gate, http_message, id};
 use pollenrouter_dev::faulty::{self, Fault, Seen, Target};
 use pollenrouter_http::{clock, convention};
@@ -88,7 +89,7 @@
             },
             body: Bytes::new(),
             fingerprint: 1,
-            target: "".into(),
+            target: TargetIncarnation::default(),
             at_most_once: false,
             deadline: clock::boot_time() + self.deadline,
             depth: 0,
@@ -273,7 +274,7 @@
     };
     let target = faulty::start(Arc::new(choose)).expect("target must start");
     let mut client = Client::start(&target);
-    client.execute(Command::QueryLoad);
+    client.execute(Command::QueryLoad(TargetIncarnation::default()));
     assert!(matches!(client.event(), Event::LoadUnavailable));
     wait_for_close(&target, 0);
     assert!(is_answered(&client.call("/good")));
