A gate paces calls by the rate that its target names

Cause: a gate bounded calls at work and nothing read the rate. The class is a bound in one unit, concurrency, where the peer states it in another, rate; and state that dies with the process while others are bound by it.

Change: the gate spaces starts by the limit (generic cell rate algorithm, half a second of burst, none when the limit is new), refuses at once what the limit delays beyond the objective, and reports the wait for its rate with each reply, so that entries place by it and tell refused callers to come back one after the other. An entry keeps what a gate has said about its target and says it with each offer, so that a restarted gate knows the limit before it starts the first call of anyone who has passed it on; what the target itself says goes first.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -5,6 +5,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use crate::gate::statement::TargetNotice;
 use crate::id;
 
 /// Largest call depth that is distinguished; deeper calls count as this depth.
@@ -56,6 +57,8 @@
     pub fingerprint: id::Fingerprint,
     /// Whether the sender issued the id itself; otherwise it comes from a caller's ticket.
     pub issued_by_sender: bool,
+    /// What the sender knows about the gate's target.
+    pub target_notice: Option<Box<TargetNotice>>,
 }
 
 /// Asks a gate for its reply to a call; a gate that has not started the call voids its
@@ -114,6 +117,8 @@
         Overloaded { display("the daemon is overloaded") }
         /// Several targets have crashed while they ran the same request.
         CrashesTargets { display("the request crashes the targets that run it") }
+        /// The target takes no further call in time at the rate that it has named.
+        RateLimited { display("the rate limit of the target is reached") }
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod completion;
 mod intake;
+mod notices;
 mod placement;
 mod retry;
 
@@ -17,6 +18,7 @@
 
 use crate::bucket;
 use crate::call::{self, Refusal, Reply, UnknownReason};
+use crate::gate::statement::TargetNotice;
 use crate::gates;
 use crate::hint;
 use crate::id;
@@ -31,6 +33,8 @@
 /// changes within fractions of a second.
 pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
+/// Longest retry delay while the rates of targets are limited; a limit may end at any time.
+const LIMITED_RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 
 /// Handle of a call within one entry.
 pub type Token = u64;
@@ -105,6 +109,8 @@
     Call(Request),
     /// A gate replied to an offer or a query.
     Reply(id::HostName, id::CallId, Reply, hint::Hint),
+    /// What a gate says about its target, if anything, with the answer to a call.
+    TargetNoticed(id::HostName, Option<TargetNotice>),
     /// The connection to a gate failed before the reply for an id.
     ConnectionLost(id::HostName, id::CallId, Sent),
     /// A probe reached a gate.
@@ -179,6 +185,9 @@
     next_seq: u64,
     failure_domain: id::DomainName,
     gates: gates::Gates,
+    notices: notices::Notices,
+    /// When the latest refused caller of each service was told to return.
+    latest_returns: BTreeMap<id::ServiceName, Duration>,
     pending: BTreeMap<Token, Pending>,
     by_id: BTreeMap<id::CallId, Vec<Token>>,
     retry_budgets: BTreeMap<id::ServiceName, bucket::RetryBudget>,
@@ -195,6 +204,8 @@
             next_seq: 1,
             failure_domain: id::DomainName::default(),
             gates: gates::Gates::default(),
+            notices: notices::Notices::default(),
+            latest_returns: BTreeMap::new(),
             pending: BTreeMap::new(),
             by_id: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
@@ -221,6 +232,7 @@
             Input::ConnectionLost(host, id, sent) => {
                 self.connection_lost(now, &host, id, sent, &mut out);
             }
+            Input::TargetNoticed(host, notice) => self.notices.record(now, host, notice),
             Input::Reachable(host) => self.gates.mark_reachable(&host),
             Input::CallerGone(token) => self.caller_gone(token, &mut out),
             Input::Members(members) => self.gates.replace(members),
@@ -251,16 +263,30 @@
     }
 
     /// Time after which a refused caller may retry: the expected wait at the least loaded
-    /// gate of the service.
+    /// gate of the service. If the rates of all its targets are limited, refused callers return
+    /// one after the other at this entry's even share of them.
     #[must_use]
-    pub fn retry_after(&self, now: Duration, service: &str) -> Duration {
-        let expected_waits = self
-            .gates
-            .iter()
-            .filter(|(member, _)| member.service == service && member.serving)
-            .map(|(_, load)| load.expected_wait(now));
+    pub fn retry_after(&mut self, now: Duration, service: &id::ServiceName) -> Duration {
+        let gates = self.gates.iter();
+        let loads: Vec<&selection::Load> = gates
+            .filter(|(member, _)| member.service == *service && member.serving)
+            .map(|(_, load)| load)
+            .collect();
+        let expected_waits = loads.iter().map(|load| load.expected_wait(now));
         let shortest = expected_waits.min().unwrap_or(RETRY_AFTER_MAX);
-        shortest.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+        let intervals: Option<Vec<Duration>> =
+            loads.iter().map(|load| load.rate_interval(now)).collect();
+        let Some(intervals) = intervals.filter(|intervals| !intervals.is_empty()) else {
+            return shortest.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        };
+        let rate: f64 = intervals.iter().map(|i| i.as_secs_f64().recip()).sum();
+        let entries = f64::from(self.gates.len().max(1));
+        let spacing = Duration::from_secs_f64(entries / rate).min(LIMITED_RETRY_AFTER_MAX);
+        let earliest = now + shortest.max(RETRY_AFTER_MIN);
+        let latest = self.latest_returns.entry(service.clone()).or_default();
+        let returns_at = earliest.max(*latest + spacing);
+        *latest = returns_at.min(now + LIMITED_RETRY_AFTER_MAX);
+        latest.saturating_sub(now)
     }
 
     /// Whether no call is open.
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -79,6 +79,7 @@
             at_most_once: request.at_most_once,
             fingerprint: request.fingerprint,
             issued_by_sender: request.ticket.is_none(),
+            target_notice: self.notices.get(&host).cloned().map(Box::new),
         };
         pending.slow_gates.record_offer(when_slow);
         if !pending.tried.contains(&host) {
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -9,6 +9,7 @@
 mod answer_cache;
 mod dispatch;
 mod known_calls;
+mod pacing;
 pub mod quarantine;
 mod speed;
 pub mod statement;
@@ -23,6 +24,7 @@
 use crate::hint;
 use crate::id;
 use crate::queue;
+use crate::rate::RateLimit;
 use crate::records::{self, State};
 use crate::service;
 use crate::service_times;
@@ -95,6 +97,8 @@
     Announced(Announcement),
     /// An incarnation of a target is leaving or gone, whatever it announces later.
     Departed(target::TargetIncarnation),
+    /// The target stated something about itself with an answer.
+    Stated(statement::Statement),
     /// The target reported its load.
     LoadReported(LoadReport),
     /// The target did not report its load on request.
@@ -152,6 +156,7 @@
     document: Option<service::Service>,
     targets: target::Targets,
     speed_tracker: speed::SpeedTracker,
+    pacing: pacing::Pacing,
     announcement_ttl: Duration,
     departures_loaded: bool,
     draining: bool,
@@ -178,6 +183,7 @@
             document: None,
             targets: target::Targets::default(),
             speed_tracker: speed::SpeedTracker::default(),
+            pacing: pacing::Pacing::default(),
             announcement_ttl: ANNOUNCEMENT_TTL,
             departures_loaded: true,
             draining: false,
@@ -224,6 +230,7 @@
             Input::Finished(id, outcome) => self.handle_finished(now, id, outcome, &mut out),
             Input::Announced(announcement) => self.targets.apply_announcement(now, announcement),
             Input::Departed(incarnation) => self.targets.apply_departure(incarnation),
+            Input::Stated(statement) => self.apply_statement(now, &statement),
             Input::LoadReported(report) => self.speed_tracker.record_report(now, report),
             Input::LoadNotReported => self.speed_tracker.record_missing_report(now),
             Input::DeparturesLoaded => self.departures_loaded = true,
@@ -318,6 +325,10 @@
             slots: self.open_slots(now),
             mean_service_time: self.service_times.overall_mean(),
             slowness: self.speed_tracker.slowness(now),
+            rate_wait: self.rate_wait(now, saturating_u32(self.waiting.len())),
+            rate_interval: self
+                .rate_limit()
+                .map_or(Duration::ZERO, RateLimit::interval),
             failing: saturating_u32(failed) * 2 > OUTCOME_WINDOW,
             leaving: self.current_refusal(now) == Some(Refusal::Draining),
             closed: self.current_refusal(now).is_some() || self.document.is_none(),
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -30,6 +30,9 @@
         out: &mut Vec<Output>,
     ) {
         let id = offer.id;
+        if let Some(notice) = &offer.target_notice {
+            self.apply_notice(now, notice);
+        }
         if offer.incarnation != self.incarnation {
             // An earlier incarnation may have run a copy of the call.
             out.push(Output::Reply(id, Reply::Unknown(UnknownReason::GateGone)));
@@ -97,6 +100,10 @@
         };
         let wait = queue::expected_wait(&self.waiting, priority, slots, overall_mean);
         let (max_wait, misses_objective) = max_wait(offer, mean);
+        let ahead = queue::count_ahead(&self.waiting, priority);
+        if self.rate_wait(now, ahead) > max_wait {
+            return Err(Refusal::RateLimited);
+        }
         if wait > max_wait || offer.remaining.is_zero() {
             return Err(Refusal::Late);
         }
--- a/crates/core/src/gate/dispatch.rs
+++ b/crates/core/src/gate/dispatch.rs
@@ -23,8 +23,8 @@
         }
     }
 
-    /// Speed of the target for a call that starts now, or `None` if no call can start or
-    /// a load report is awaited.
+    /// Speed of the target for a call that starts now, or `None` if no call can start, by the
+    /// slots or by the target's rate limit, or a load report is awaited.
     pub(super) fn target_speed(
         &mut self,
         now: Duration,
@@ -32,6 +32,9 @@
     ) -> Option<speed::Speed> {
         let slots = self.slots(now);
         queue::next_to_start(&self.waiting, slots, now, |_| true)?;
+        if !self.rate_wait(now, 0).is_zero() {
+            return None;
+        }
         let (speed, request_load) = self.speed_tracker.speed(now);
         if request_load {
             out.push(Output::RequestLoad);
@@ -78,8 +81,11 @@
         let may_start = |w: &queue::WaitingCall| {
             speed.allows_start(w.mean) || w.when_slow == WhenSlow::Start && speed.is_persistent
         };
-        while let Some(index) = queue::next_to_start(&self.waiting, self.slots(now), now, may_start)
+        while self.rate_wait(now, 0).is_zero()
+            && let Some(index) =
+                queue::next_to_start(&self.waiting, self.slots(now), now, may_start)
         {
+            self.record_paced_start(now);
             let w = self.waiting.remove(index);
             if now >= w.delayed_from {
                 self.record_delay(now, &w.route, w.rank);
--- a/crates/core/src/gate/statement.rs
+++ b/crates/core/src/gate/statement.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::target::TargetIncarnation;
 use crate::rate::RateLimit;
 
@@ -33,6 +35,16 @@
     pub leaving: bool,
 }
 
+/// What other hosts know about the target of a gate. They tell it to the gate with each
+/// offer, because a daemon that restarts forgets what its target has stated.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetNotice {
+    /// The target that the rest is about.
+    pub target: TargetIncarnation,
+    /// Rate of calls that it takes, if it has named one.
+    pub rate_limit: Option<RateLimit>,
+}
+
 impl fmt::Display for StatedRate {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
--- a/crates/core/src/hint.rs
+++ b/crates/core/src/hint.rs
@@ -19,6 +19,10 @@
     /// Current service time as a percentage of the normal service time; 0 if the
     /// target does not report it.
     pub slowness: u32,
+    /// Time until the target's rate limit lets a further call start; zero without a limit.
+    pub rate_wait: Duration,
+    /// Time between two calls at the target's rate limit; zero without a limit.
+    pub rate_interval: Duration,
     /// Whether most of the latest calls failed.
     pub failing: bool,
     /// Whether it is draining and will accept no further calls.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -119,6 +119,21 @@
     pub is_long: bool,
 }
 
+/// Number of waiting calls that start before one that joins the queue now.
+#[must_use]
+pub fn count_ahead(waiting: &[WaitingCall], priority: Priority) -> u32 {
+    let Priority {
+        depth,
+        rank,
+        is_long,
+    } = priority;
+    let ahead = waiting
+        .iter()
+        .filter(|w| (w.depth == 0, w.rank, w.is_long) <= (depth == 0, rank, is_long))
+        .count();
+    u32::try_from(ahead).unwrap_or(u32::MAX)
+}
+
 /// Expected wait of a call that joins the queue now.
 #[must_use]
 pub fn expected_wait(
@@ -135,10 +150,6 @@
     if slots.can_start(depth, rank, is_long) && waiting.is_empty() {
         return Duration::ZERO;
     }
-    let ahead = waiting
-        .iter()
-        .filter(|w| (w.depth == 0, w.rank, w.is_long) <= (depth == 0, rank, is_long))
-        .count();
-    let ahead = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
+    let ahead = count_ahead(waiting, priority).saturating_add(1);
     mean.saturating_mul(ahead) / slots.usable(depth, rank).max(1)
 }
--- a/crates/core/src/rate.rs
+++ b/crates/core/src/rate.rs
@@ -7,6 +7,11 @@
 
 /// Calls per thousand seconds in one call per second.
 const SCALE: f64 = 1000.0;
+/// Longest time between two calls: without any call it would not be noticed that a target
+/// takes more again.
+const INTERVAL_MAX: Duration = Duration::from_secs(5);
+/// Calls that were not made for this long may be made at once.
+const BURST: Duration = Duration::from_millis(500);
 
 /// A number of calls per second that a target takes at most.
 #[derive(
@@ -32,13 +37,46 @@
         })
     }
 
-    /// Time between two calls at this rate; [`Duration::MAX`] for a rate of 0.
+    /// Time between two calls at this rate.
     #[must_use]
     pub fn interval(self) -> Duration {
         let period = Duration::from_secs(1000);
-        period
-            .checked_div(self.calls_per_1000_s)
-            .unwrap_or(Duration::MAX)
+        let interval = period.checked_div(self.calls_per_1000_s);
+        interval.unwrap_or(INTERVAL_MAX).min(INTERVAL_MAX)
+    }
+
+    /// By how much a call may be ahead of an even spacing.
+    fn tolerance(self) -> Duration {
+        BURST.saturating_sub(self.interval())
+    }
+}
+
+/// Spaces calls by a rate limit: the generic cell rate algorithm.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Pacer {
+    /// When the next call is due at an even spacing.
+    next_due: Duration,
+}
+
+impl Pacer {
+    /// A pacer that allows one call now and no burst.
+    #[must_use]
+    pub fn new(now: Duration, limit: RateLimit) -> Self {
+        Self {
+            next_due: now + limit.tolerance(),
+        }
+    }
+
+    /// Time until a call may be made after `ahead` others.
+    #[must_use]
+    pub fn wait(self, now: Duration, limit: RateLimit, ahead: u32) -> Duration {
+        let due = self.next_due.max(now) + limit.interval().saturating_mul(ahead);
+        due.saturating_sub(now + limit.tolerance())
+    }
+
+    /// Records that a call is made.
+    pub fn record(&mut self, now: Duration, limit: RateLimit) {
+        self.next_due = self.next_due.max(now) + limit.interval();
     }
 }
 
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -84,7 +84,27 @@
         };
         let ahead = self.outstanding.max(reported + self.offered_since);
         let slots = hint.slots.max(1);
-        hint.mean_service_time * (ahead + 1).saturating_sub(slots) / slots
+        let slot_wait = hint.mean_service_time * (ahead + 1).saturating_sub(slots) / slots;
+        slot_wait.max(self.rate_wait(now))
+    }
+
+    /// The reported time between two calls at the target's rate limit, if it has one.
+    #[must_use]
+    pub fn rate_interval(&self, now: Duration) -> Option<Duration> {
+        let (hint, at) = self.report?;
+        let is_limited = now.saturating_sub(at) <= HINT_TTL && !hint.rate_interval.is_zero();
+        is_limited.then_some(hint.rate_interval)
+    }
+
+    /// Expected time until the target's rate limit lets a call start that is offered now.
+    fn rate_wait(&self, now: Duration) -> Duration {
+        match (self.report, self.rate_interval(now)) {
+            (Some((hint, at)), Some(interval)) => {
+                let at_report = hint.rate_wait + interval.saturating_mul(self.offered_since);
+                at_report.saturating_sub(now.saturating_sub(at))
+            }
+            _ => Duration::ZERO,
+        }
     }
 
     /// Expected time until the answer of a call that is offered now.
@@ -115,7 +135,8 @@
         };
         // Service times grow with the number of slots in use.
         let contention = mean * ahead.min(slots) / (2 * slots);
-        let wait = mean * (ahead + 1).saturating_sub(slots) / slots;
+        let slot_wait = mean * (ahead + 1).saturating_sub(slots) / slots;
+        let wait = slot_wait.max(self.rate_wait(now));
         let failing = if fresh && hint.failing {
             FAILING_COST
         } else {
--- a/crates/core/tests/gates.rs
+++ b/crates/core/tests/gates.rs
@@ -26,6 +26,8 @@
     slots: 0,
     mean_service_time: Duration::ZERO,
     slowness: 0,
+    rate_wait: Duration::ZERO,
+    rate_interval: Duration::ZERO,
     failing: false,
     leaving: false,
     closed: true,
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -170,6 +170,7 @@
         at_most_once: false,
         fingerprint: seq,
         issued_by_sender: true,
+        target_notice: None,
     }
 }
 
--- a/crates/core/tests/quarantined_calls.rs
+++ b/crates/core/tests/quarantined_calls.rs
@@ -35,6 +35,7 @@
         at_most_once: true,
         fingerprint,
         issued_by_sender: true,
+        target_notice: None,
     }
 }
 
--- a/crates/core/tests/target_speed.rs
+++ b/crates/core/tests/target_speed.rs
@@ -335,5 +335,6 @@
         at_most_once: false,
         fingerprint: seq,
         issued_by_sender: true,
+        target_notice: None,
     }
 }
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -315,6 +315,7 @@
     Ok(GateReply {
         reply: head.reply,
         load: head.load,
+        target_notice: head.target_notice,
         answer: head.answer_head.map(|head| Answer { head, body }),
     })
 }
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -2,6 +2,7 @@
 //! to the end of the stream.
 
 use bytes::Bytes;
+use pollenrouter_core::gate::statement::TargetNotice;
 use pollenrouter_core::{call, hint, http_message};
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
@@ -48,6 +49,8 @@
     pub reply: call::Reply,
     /// Load of the gate.
     pub load: hint::Hint,
+    /// What is known about the gate's target.
+    pub target_notice: Option<TargetNotice>,
     /// Status and headers of the answer, if there is one.
     pub answer_head: Option<http_message::ResponseHead>,
     /// Size of the answer's body, bytes; 0 without an answer.
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use bytes::Bytes;
+use pollenrouter_core::gate::statement::TargetNotice;
 use pollenrouter_core::{call, entry, hint, http_message, id, replica};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -42,6 +43,8 @@
     pub reply: call::Reply,
     /// Load of the gate.
     pub load: hint::Hint,
+    /// What is known about the gate's target.
+    pub target_notice: Option<TargetNotice>,
     /// The target's answer, if the reply carries one.
     pub answer: Option<Answer>,
 }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -119,6 +119,7 @@
     let head = ReplyHead {
         reply: gate_reply.reply,
         load: gate_reply.load,
+        target_notice: gate_reply.target_notice,
         answer_head,
         body_bytes: body.len() as u64,
     };
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -170,6 +170,7 @@
         at_most_once: true,
         fingerprint: 4,
         issued_by_sender: true,
+        target_notice: None,
     }
 }
 
@@ -189,6 +190,7 @@
     GateReply {
         reply: Reply::Answer,
         load: Hint::default(),
+        target_notice: None,
         answer: Some(Answer {
             head: ResponseHead {
                 status: 200,
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -11,6 +11,7 @@
 use pollenrouter_caller::message::{Call, CallerResult};
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
+use pollenrouter_core::gate::statement::Statement;
 use pollenrouter_core::{gate, http_message, id, pause, quarantine, service};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
@@ -257,6 +258,16 @@
         self.process(Input::Gate(gate::Input::DeparturesLoaded));
     }
 
+    /// Handles what the target states about itself.
+    pub fn handle_statement(&mut self, statement: Statement) {
+        let asked_at = statement.asked_at.saturating_sub(self.clock_start);
+        let statement = Statement {
+            asked_at,
+            ..statement
+        };
+        self.process(Input::Gate(gate::Input::Stated(statement)));
+    }
+
     /// Handles a load report of the target.
     pub fn handle_load_report(&mut self, report: gate::LoadReport) {
         self.process(Input::Gate(gate::Input::LoadReported(report)));
@@ -332,6 +343,13 @@
         } else {
             gate_reply.reply
         };
+        if expects_answer || gate_reply.target_notice.is_some() {
+            let notice = gate_reply.target_notice;
+            self.process(Input::Entry(entry::Input::TargetNoticed(
+                host.clone(),
+                notice,
+            )));
+        }
         self.reply_answer = gate_reply.answer;
         self.process(Input::Entry(entry::Input::Reply(
             host,
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -255,6 +255,7 @@
                 let gate_reply = GateReply {
                     reply,
                     load: hint,
+                    target_notice: self.gate.target_notice(),
                     answer: answer.cloned(),
                 };
                 // The send fails if the entry has closed the stream.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -180,7 +180,10 @@
                 self.handle_lifecycle(*message, reply_to);
             }
             target::Event::LoadReported(report) => self.calls.handle_load_report(report),
-            target::Event::Stated(statement) => self.handle_statement(&statement),
+            target::Event::Stated(statement) => {
+                self.log_statement(&statement);
+                self.calls.handle_statement(statement);
+            }
             target::Event::LoadUnavailable => self.calls.handle_load_unavailable(),
             target::Event::CallFinished(id, outcome, answer) => {
                 self.record_call_end(id, outcome);
@@ -194,7 +197,7 @@
     }
 
     /// Logs what a target states about itself when it changes.
-    fn handle_statement(&mut self, statement: &Statement) {
+    fn log_statement(&mut self, statement: &Statement) {
         let stated = (statement.rate, statement.leaving);
         if self.stated == stated {
             return;
