A target that says in an answer that it leaves gets no further calls

Cause: only announcements were read for departures, and an entry knew nothing of the target behind a gate, only of the gate. Change: the statement counts like an announcement with draining: the gate refuses, the departure is stored at the platform, or copied to peers while that is out, and each reply tells the entry, which tells it with every later offer to that host, so that a gate that has restarted and hears a late "ready" first still refuses.

Seven further cases of announcements against statements in core/tests/target.rs, and one of an entry's memory.

--- a/crates/core/src/entry/notices.rs
+++ b/crates/core/src/entry/notices.rs
@@ -25,9 +25,17 @@
         host: id::HostName,
         notice: Option<TargetNotice>,
     ) {
-        let Some(notice) = notice else {
-            self.0.remove(&host);
-            return;
+        let known = self.0.remove(&host).map(|(notice, _)| notice);
+        let departed = known.filter(|known| known.leaving);
+        let notice = match (notice, departed) {
+            (Some(notice), Some(departed)) if notice.target == departed.target => TargetNotice {
+                leaving: true,
+                ..notice
+            },
+            (Some(notice), _) => notice,
+            // A target that has left stays so.
+            (None, Some(departed)) => departed,
+            (None, None) => return,
         };
         self.0.insert(host, (notice, now));
         if self.0.len() > NOTICES_MAX {
--- a/crates/core/src/gate/pacing.rs
+++ b/crates/core/src/gate/pacing.rs
@@ -37,6 +37,8 @@
         self.named_at = now;
     }
 
+    /// An answer without a rate ends the limit, unless its request was sent before the limit
+    /// was named last.
     fn apply(&mut self, now: Duration, statement: &Statement) {
         match statement.rate {
             StatedRate::Unreadable => {}
@@ -58,16 +60,14 @@
 }
 
 impl Gate {
-    /// Applies what the target states about its rate. An answer without a rate ends the limit,
-    /// unless its request was sent before the limit was named last.
-    pub(super) fn apply_statement(&mut self, now: Duration, statement: &Statement) {
+    pub(super) fn apply_stated_rate(&mut self, now: Duration, statement: &Statement) {
         if self.target_incarnation() == Some(&statement.target) {
             self.pacing_of(&statement.target).apply(now, statement);
         }
     }
 
-    /// Applies what another host knows about the target, until the target itself has stated it.
-    pub(super) fn apply_notice(&mut self, now: Duration, notice: &TargetNotice) {
+    /// Applies the limit that another host knows of, until the target itself has stated it.
+    pub(super) fn apply_noticed_rate(&mut self, now: Duration, notice: &TargetNotice) {
         let Some(limit) = notice.rate_limit else {
             return;
         };
@@ -105,12 +105,4 @@
             self.pacing.pacer.record(now, limit);
         }
     }
-
-    /// What other hosts should tell a later incarnation of this gate about its target.
-    #[must_use]
-    pub fn target_notice(&self) -> Option<TargetNotice> {
-        let target = self.target_incarnation()?.clone();
-        let rate_limit = Some(self.rate_limit()?);
-        Some(TargetNotice { target, rate_limit })
-    }
 }
--- a/crates/core/src/gate/statement.rs
+++ b/crates/core/src/gate/statement.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Gate;
 use super::target::TargetIncarnation;
 use crate::rate::RateLimit;
 
@@ -43,6 +44,8 @@
     pub target: TargetIncarnation,
     /// Rate of calls that it takes, if it has named one.
     pub rate_limit: Option<RateLimit>,
+    /// Whether it is leaving or gone.
+    pub leaving: bool,
 }
 
 impl fmt::Display for StatedRate {
@@ -54,3 +57,35 @@
         }
     }
 }
+
+impl Gate {
+    /// Applies what the target states about itself.
+    pub(super) fn apply_statement(&mut self, now: Duration, statement: &Statement) {
+        self.apply_stated_rate(now, statement);
+        // A health check names no target, so another one may have answered it.
+        if statement.leaving && !statement.is_probe {
+            self.targets.apply_stated_departure(&statement.target);
+        }
+    }
+
+    /// Applies what another host knows about the target.
+    pub(super) fn apply_notice(&mut self, now: Duration, notice: &TargetNotice) {
+        self.apply_noticed_rate(now, notice);
+        if notice.leaving {
+            self.targets.apply_departure(notice.target.clone());
+        }
+    }
+
+    /// What other hosts should tell a later incarnation of this gate about its target, if
+    /// anything.
+    #[must_use]
+    pub fn target_notice(&self) -> Option<TargetNotice> {
+        let target = self.target_incarnation()?;
+        let notice = TargetNotice {
+            target: target.clone(),
+            rate_limit: self.rate_limit(),
+            leaving: self.has_departed(target),
+        };
+        (notice.rate_limit.is_some() || notice.leaving).then_some(notice)
+    }
+}
--- a/crates/core/src/gate/target.rs
+++ b/crates/core/src/gate/target.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Applies that an incarnation has stated that it leaves. One without a name can be told
+    /// from the next only by its next announcement.
+    pub(super) fn apply_stated_departure(&mut self, incarnation: &TargetIncarnation) {
+        if !incarnation.name.is_empty() {
+            self.apply_departure(incarnation.clone());
+        } else if let Some(target) = &mut self.current {
+            target.announcement.draining = true;
+        }
+    }
+
     /// Applies the departure of an incarnation; its later announcements do not revoke it.
     pub(super) fn apply_departure(&mut self, incarnation: TargetIncarnation) {
         if let Some(target) = &mut self.current
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -252,6 +252,7 @@
             ..target()
         },
         rate_limit: Some(limit(2.0)),
+        leaving: false,
     };
     let mut gate = gate(1, now);
     gate.step(now, Input::Offer(offer(1, 1, Some(notice("t-0")))));
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -3,8 +3,12 @@
 
 use std::time::Duration;
 
+use pollenrouter_core::call::{Offer, WhenSlow};
+use pollenrouter_core::entry::{self, Entry, Member};
+use pollenrouter_core::gate::statement::{Statement, TargetNotice};
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::gate::{Announcement, Gate, Input};
+use pollenrouter_core::id::CallId;
 use pollenrouter_core::service::{Limits, ProbeBudget, Service};
 use rstest::rstest;
 
@@ -29,6 +33,42 @@
     })
 }
 
+fn states_leaving(name: &str, started_ms: u64, is_probe: bool) -> Input {
+    Input::Stated(Statement {
+        target: incarnation(name, started_ms),
+        is_probe,
+        leaving: true,
+        ..Statement::default()
+    })
+}
+
+fn offered_with_notice(name: &str, started_ms: u64) -> Input {
+    Input::Offer(Offer {
+        incarnation: 1,
+        id: CallId {
+            entry: 2,
+            seq: 1,
+            nonce: 1,
+        },
+        service: SERVICE.into(),
+        route: "r".into(),
+        depth: 0,
+        rank: 0,
+        remaining: STEP,
+        objective: STEP,
+        sheddable: false,
+        when_slow: WhenSlow::Start,
+        at_most_once: true,
+        fingerprint: 1,
+        issued_by_sender: true,
+        target_notice: Some(Box::new(TargetNotice {
+            target: incarnation(name, started_ms),
+            leaving: true,
+            ..TargetNotice::default()
+        })),
+    })
+}
+
 struct Case {
     inputs: fn() -> Vec<Input>,
     accepts_calls: bool,
@@ -66,6 +106,65 @@
     },
     accepts_calls: false,
 };
+const READY_AFTER_STATED_DEPARTURE: Case = Case {
+    inputs: || {
+        vec![
+            announced("i-1", 1, 1, false),
+            states_leaving("i-1", 1, false),
+            announced("i-1", 1, 2, false),
+        ]
+    },
+    accepts_calls: false,
+};
+const NEXT_INCARNATION_AFTER_STATED_DEPARTURE: Case = Case {
+    inputs: || {
+        vec![
+            announced("i-1", 1, 1, false),
+            states_leaving("i-1", 1, false),
+            announced("i-1", 2, 1, false),
+        ]
+    },
+    accepts_calls: true,
+};
+/// The health check may have been answered by another target at the same address.
+const HEALTH_ANSWER_STATES_DEPARTURE: Case = Case {
+    inputs: || {
+        vec![
+            announced("i-1", 1, 1, false),
+            states_leaving("i-1", 1, true),
+        ]
+    },
+    accepts_calls: true,
+};
+const UNNAMED_STATES_DEPARTURE: Case = Case {
+    inputs: || vec![announced("", 0, 0, false), states_leaving("", 0, false)],
+    accepts_calls: false,
+};
+const NEXT_UNNAMED_AFTER_STATED_DEPARTURE: Case = Case {
+    inputs: || {
+        vec![
+            announced("", 0, 0, false),
+            states_leaving("", 0, false),
+            announced("", 0, 0, false),
+        ]
+    },
+    accepts_calls: true,
+};
+/// The daemon has restarted and is told of the departure by an entry.
+const OFFERED_WITH_NOTICE_OF_DEPARTURE: Case = Case {
+    inputs: || {
+        vec![
+            announced("i-1", 1, 8, false),
+            offered_with_notice("i-1", 1),
+            announced("i-1", 1, 9, false),
+        ]
+    },
+    accepts_calls: false,
+};
+const OFFERED_WITH_NOTICE_OF_EARLIER_DEPARTURE: Case = Case {
+    inputs: || vec![announced("i-2", 2, 8, false), offered_with_notice("i-1", 1)],
+    accepts_calls: true,
+};
 /// The daemon has restarted and knows the departure from its object on the platform.
 const ANNOUNCED_AFTER_DAEMON_RESTART: Case = Case {
     inputs: || {
@@ -113,6 +212,13 @@
 };
 
 #[rstest]
+#[case::ready_after_stated_departure(READY_AFTER_STATED_DEPARTURE)]
+#[case::next_incarnation_after_stated_departure(NEXT_INCARNATION_AFTER_STATED_DEPARTURE)]
+#[case::health_answer_states_departure(HEALTH_ANSWER_STATES_DEPARTURE)]
+#[case::unnamed_states_departure(UNNAMED_STATES_DEPARTURE)]
+#[case::next_unnamed_after_stated_departure(NEXT_UNNAMED_AFTER_STATED_DEPARTURE)]
+#[case::offered_with_notice_of_departure(OFFERED_WITH_NOTICE_OF_DEPARTURE)]
+#[case::offered_with_notice_of_earlier_departure(OFFERED_WITH_NOTICE_OF_EARLIER_DEPARTURE)]
 #[case::ready(READY)]
 #[case::draining(DRAINING)]
 #[case::earlier_ready_after_draining(EARLIER_READY_AFTER_DRAINING)]
@@ -181,3 +287,38 @@
         probe_budget: ProbeBudget::default(),
     }
 }
+
+/// Guards against an entry that forgets the departure of a target once the gate, which has
+/// restarted, has nothing to say about it.
+#[test]
+fn an_entry_tells_a_gate_of_the_departure_that_it_has_heard_of() {
+    let mut entry = Entry::new(1);
+    let member = Member {
+        host: "a".into(),
+        incarnation: 7,
+        service: SERVICE.into(),
+        serving: true,
+        ..Member::default()
+    };
+    entry.step(STEP, entry::Input::Members(vec![member]));
+    let notice = TargetNotice {
+        target: incarnation("i-1", 1),
+        rate_limit: None,
+        leaving: true,
+    };
+    let noticed = entry::Input::TargetNoticed("a".into(), Some(notice.clone()));
+    entry.step(STEP, noticed);
+    entry.step(STEP, entry::Input::TargetNoticed("a".into(), None));
+    let request = entry::Request {
+        token: 1,
+        service: SERVICE.into(),
+        remaining: STEP,
+        objective: STEP,
+        ..entry::Request::default()
+    };
+    let out = entry.step(STEP, entry::Input::Call(request));
+    let [entry::Output::Offer(_, _, offer)] = out.as_slice() else {
+        panic!("call must be offered: {out:?}");
+    };
+    assert_eq!(offer.target_notice.as_deref(), Some(&notice));
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -182,7 +182,7 @@
             target::Event::LoadReported(report) => self.calls.handle_load_report(report),
             target::Event::Stated(statement) => {
                 self.log_statement(&statement);
-                self.calls.handle_statement(statement);
+                self.handle_statement(statement);
             }
             target::Event::LoadUnavailable => self.calls.handle_load_unavailable(),
             target::Event::CallFinished(id, outcome, answer) => {
@@ -196,6 +196,17 @@
         }
     }
 
+    /// Applies what a target states about itself. That it leaves is stored as if it had
+    /// announced it.
+    fn handle_statement(&mut self, statement: Statement) {
+        let target = statement.target.clone();
+        let had_departed = self.calls.gate().has_departed(&target);
+        self.calls.handle_statement(statement);
+        if !had_departed && self.calls.gate().has_departed(&target) {
+            self.handle_departure(target, None);
+        }
+    }
+
     /// Logs what a target states about itself when it changes.
     fn log_statement(&mut self, statement: &Statement) {
         let stated = (statement.rate, statement.leaving);
@@ -254,14 +265,14 @@
                     self.set_service(service);
                 }
                 if is_leaving {
-                    self.handle_departure(incarnation, reply_to);
+                    self.handle_departure(incarnation, Some(reply_to));
                 } else {
                     self.update_state();
                     acknowledge(reply_to);
                 }
             }
             target::LifecycleMessage::Departure(incarnation) => {
-                self.handle_departure(self.resolve_incarnation(incarnation), reply_to);
+                self.handle_departure(self.resolve_incarnation(incarnation), Some(reply_to));
             }
         }
     }
--- a/crates/router/src/router/departures.rs
+++ b/crates/router/src/router/departures.rs
@@ -12,13 +12,14 @@
 /// daemons. A target waits one second for an acknowledgement.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Departure that is not yet stored; its target waits for an acknowledgement.
+/// Departure that is not yet stored.
 pub(super) struct PendingDeparture {
     incarnation: TargetIncarnation,
     received_at: Duration,
     /// Whether other daemons were asked to store a copy.
     copies_requested: bool,
-    reply_to: oneshot::Sender<()>,
+    /// `None` if the target does not wait for an acknowledgement.
+    reply_to: Option<oneshot::Sender<()>>,
 }
 
 impl Router {
@@ -53,7 +54,7 @@
     pub(super) fn handle_departure(
         &mut self,
         incarnation: TargetIncarnation,
-        reply_to: oneshot::Sender<()>,
+        reply_to: Option<oneshot::Sender<()>>,
     ) {
         self.calls.handle_departure(incarnation.clone());
         if self
@@ -62,7 +63,9 @@
             .any(|known| known.implies_departure_of(&incarnation))
         {
             self.update_state();
-            acknowledge(reply_to);
+            if let Some(reply_to) = reply_to {
+                acknowledge(reply_to);
+            }
             return;
         }
         info!(target:% = incarnation.name, born = incarnation.started_ms; "target leaves");
@@ -88,8 +91,12 @@
         }
         // If the target stopped waiting and sends its departure again, that request adds
         // another pending departure.
+        let is_abandoned = |departure: &PendingDeparture| {
+            let reply_to = departure.reply_to.as_ref();
+            reply_to.is_some_and(oneshot::Sender::is_closed)
+        };
         self.pending_departures
-            .retain(|departure| !departure.reply_to.is_closed());
+            .retain(|departure| !is_abandoned(departure));
         self.apply_effects(effects);
     }
 
@@ -102,7 +109,9 @@
         self.pending_departures = unstored;
         let stored: Vec<PendingDeparture> = stored;
         for departure in stored {
-            acknowledge(departure.reply_to);
+            if let Some(reply_to) = departure.reply_to {
+                acknowledge(reply_to);
+            }
         }
         self.stored_departures.insert(incarnation);
     }
