The platform's era and objects that it has lost are logged

The client reads the era of each response and logs when it changes; a read object that is not used because the held one is not older is logged if they differ. No logic changed.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,12 +1,15 @@
 //! HTTP client for the platform's object API.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use log::info;
 use pollenrouter_core::{id, replica};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use ureq::http::Request;
+use ureq::http::{HeaderMap, Request};
 
 use crate::dialect::{self, Dialect, Freshness, SyncMode};
 
@@ -66,6 +69,8 @@
     base_url: SmolStr,
     dialect: Dialect,
     agent: ureq::Agent,
+    /// The era that the latest response stated; 0 if none.
+    era: Arc<AtomicU64>,
 }
 
 impl Client {
@@ -89,6 +94,7 @@
             base_url: base_url.trim_end_matches('/').into(),
             dialect,
             agent: config.into(),
+            era: Arc::default(),
         }
     }
 
@@ -241,11 +247,23 @@
         };
         let mut response = response.map_err(|err| unavailable(&err))?;
         let status = response.status().as_u16();
+        self.log_era(response.headers());
         let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
         let text = body.read_to_string();
         Ok((status, text.map_err(|err| unavailable(&err))?))
     }
 
+    /// Logs the platform's era when it changes.
+    fn log_era(&self, headers: &HeaderMap) {
+        let header = self.dialect.era_header;
+        let era = headers.get(header).and_then(|value| value.to_str().ok());
+        let era: u64 = era.and_then(|era| era.parse().ok()).unwrap_or(0);
+        let before = self.era.swap(era, Ordering::Relaxed);
+        if before != era {
+            info!(before, era; "the platform's era changed");
+        }
+    }
+
     fn send<T: ureq::AsSendBody>(
         &self,
         request: Request<T>,
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -55,6 +55,9 @@
 pub struct Dialect {
     /// Key prefixes that are read separately, and how daemons learn of changes under each.
     pub prefixes: &'static [(&'static str, SyncMode)],
+    /// Header of every response with the era, a number that grows each time the platform comes
+    /// back from a copy, has lost later changes, and gives out their revisions again.
+    pub era_header: &'static str,
     /// Path of one object.
     pub object_path: fn(key: &str) -> String,
     /// Path of a page of a listing; `cursor` is empty for the first page.
@@ -78,6 +81,7 @@
 /// Dialect of pollenrouter's own object API.
 pub const OWN: Dialect = Dialect {
     prefixes: &[("", SyncMode::Watch)],
+    era_header: "platform-era",
     object_path: |key| format!("objects/{key}"),
     list_path: |prefix, _, _| format!("objects?prefix={prefix}"),
     watch_path: |_, after, wait| format!("watch?after={after}&wait_ms={}", wait.as_millis()),
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -190,6 +190,7 @@
         if object::MEMBERS.starts_with(prefix) {
             self.startup_sync.on_members_listed();
         }
+        self.log_older(&listing.objects);
         let input = membership::Input::Read(listing.objects, rand::random());
         let mut effects = self.step(input);
         self.check_startup_sync(&mut effects);
@@ -209,6 +210,27 @@
         effects
     }
 
+    /// Applies objects that a watch or a write returned.
+    pub fn on_received(&mut self, objects: Vec<replica::Object>) -> Vec<Effect> {
+        self.log_older(&objects);
+        self.step(membership::Input::Read(objects, rand::random()))
+    }
+
+    /// Logs the objects of the platform that are not used because the held ones are not older: a
+    /// read may be stale, or the platform has lost later changes.
+    fn log_older(&self, objects: &[replica::Object]) {
+        for object in objects {
+            let held = self.membership.replica().get(&object.key);
+            let is_dropped = |held: &&replica::Object| {
+                held.version >= object.version && held.value != object.value
+            };
+            if let Some(held) = held.filter(is_dropped) {
+                let (held, read) = (held.version, object.version);
+                info!(key:% = object.key, held, read; "the platform has an older object");
+            }
+        }
+    }
+
     /// Processes a gossip message from another daemon.
     pub fn on_gossip(&mut self, gossip: Gossip) -> Vec<Effect> {
         self.gossip_addresses
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -98,7 +98,8 @@
                 self.apply_effects(effects);
             }
             Event::ObjectsReceived(objects) => {
-                self.step_fleet(membership::Input::Read(objects, rand::random()));
+                let effects = self.fleet.on_received(objects);
+                self.apply_effects(effects);
             }
             Event::StatusRequested(reply_to) => {
                 let stopping = self.stopping_since.is_some();
