Versions of the platform are ordered by its era before its revision

Change: the client puts the era of the response in front of each revision, in one number, so that replicas, digests and the order of registrations cannot leave it out. A watch that began in another era lists again; a write based on another era is a conflict, without being sent; a response of an earlier era is not used; one without a readable era counts as the latest. Watchers read the members anew, and not a stale copy, as soon as the era has changed. Configurations keep their own version.

Before: a_change_after_a_restore_is_in_force_everywhere times out, each time. After: passes.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -21,7 +21,8 @@
 pub type Incarnation = u64;
 /// Digest of a request's host, method, path and body.
 pub type Fingerprint = u64;
-/// Version of an object, assigned by the platform.
+/// Version of an object, assigned by the platform or by the object's writer; see
+/// [`crate::version`].
 pub type Version = u64;
 
 /// Identifier of one attempt to run one call at one gate.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod service_times;
 pub mod startup_sync;
 pub mod table;
+pub mod version;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use log::info;
-use pollenrouter_core::{id, replica};
+use log::{info, warn};
+use pollenrouter_core::{id, replica, version};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -63,13 +63,21 @@
     pub objects: Vec<replica::Object>,
 }
 
+/// Response of the platform.
+struct Response {
+    status: u16,
+    /// Era in which it was given.
+    era: u64,
+    body: String,
+}
+
 /// Client for one platform.
 #[derive(Clone, Debug)]
 pub struct Client {
     base_url: SmolStr,
     dialect: Dialect,
     agent: ureq::Agent,
-    /// The era that the latest response stated; 0 if none.
+    /// The highest era that a response has stated; 0 if none.
     era: Arc<AtomicU64>,
 }
 
@@ -110,13 +118,15 @@
     /// [`PlatformError::Unavailable`].
     pub fn get(&self, key: &str) -> Result<Option<replica::Object>, PlatformError> {
         let path = (self.dialect.object_path)(key);
-        match self.fetch(&path, REQUEST_TIMEOUT)? {
-            (OK, body) => {
-                let object = (self.dialect.parse_object)(key, &body).map_err(malformed_response)?;
-                Ok(Some(object))
+        let response = self.fetch(&path, REQUEST_TIMEOUT)?;
+        match response.status {
+            OK => {
+                let parsed = (self.dialect.parse_object)(key, &response.body);
+                let object = parsed.map_err(malformed_response)?;
+                Ok(Some(self.in_era(response.era, object)))
             }
-            (NOT_FOUND, _) => Ok(None),
-            (other, _) => Err(unexpected_status(other)),
+            NOT_FOUND => Ok(None),
+            other => Err(unexpected_status(other)),
         }
     }
 
@@ -133,13 +143,15 @@
         let mut cursor = SmolStr::default();
         loop {
             let path = (self.dialect.list_path)(prefix, &cursor, freshness);
-            let body = match self.fetch(&path, REQUEST_TIMEOUT)? {
-                (OK, body) => body,
-                (other, _) => return Err(unexpected_status(other)),
-            };
-            let page = (self.dialect.parse_page)(prefix, &body).map_err(malformed_response)?;
-            listing.revision = listing.revision.min(page.listing.revision);
-            listing.objects.extend(page.listing.objects);
+            let response = self.fetch(&path, REQUEST_TIMEOUT)?;
+            if response.status != OK {
+                return Err(unexpected_status(response.status));
+            }
+            let page = (self.dialect.parse_page)(prefix, &response.body);
+            let page = page.map_err(malformed_response)?;
+            let part = self.listing_in_era(response.era, page.listing);
+            listing.revision = listing.revision.min(part.revision);
+            listing.objects.extend(part.objects);
             match page.next_cursor {
                 Some(next) => cursor = next,
                 None => return Ok(listing),
@@ -151,13 +163,21 @@
     ///
     /// # Errors
     /// [`PlatformError::Unavailable`], or [`PlatformError::Compacted`] if the objects have to
-    /// be listed again first.
+    /// be listed again first: the changes are no longer kept, or belong to another era.
     pub fn watch(&self, prefix: &str, after: id::Version) -> Result<Listing, PlatformError> {
-        let path = (self.dialect.watch_path)(prefix, after, WATCH_WAIT);
-        match self.fetch(&path, WATCH_WAIT + REQUEST_TIMEOUT)? {
-            (OK, body) => (self.dialect.parse_changes)(prefix, &body).map_err(malformed_response),
-            (GONE, _) => Err(PlatformError::Compacted),
-            (other, _) => Err(unexpected_status(other)),
+        if self.era() != version::era(after) {
+            return Err(PlatformError::Compacted);
+        }
+        let path = (self.dialect.watch_path)(prefix, version::revision(after), WATCH_WAIT);
+        let response = self.fetch(&path, WATCH_WAIT + REQUEST_TIMEOUT)?;
+        match response.status {
+            OK if response.era == version::era(after) => {
+                let parsed = (self.dialect.parse_changes)(prefix, &response.body);
+                let changes = parsed.map_err(malformed_response)?;
+                Ok(self.listing_in_era(response.era, changes))
+            }
+            OK | GONE => Err(PlatformError::Compacted),
+            other => Err(unexpected_status(other)),
         }
     }
 
@@ -172,19 +192,36 @@
         value: &str,
         expected: id::Version,
     ) -> Result<id::Version, PlatformError> {
-        let write = (self.dialect.write_request)(key, value, expected);
-        let (status, body) =
+        if expected != 0 && self.era() != version::era(expected) {
+            // The revision may have been given out again, for another state of the object.
+            let stored = self.get(key)?;
+            if self.era() != version::era(expected) {
+                let current = stored.as_ref().map_or(0, |object| object.version);
+                return Err(PlatformError::Conflict(
+                    key.into(),
+                    expected,
+                    current,
+                    stored,
+                ));
+            }
+        }
+        let write = (self.dialect.write_request)(key, value, version::revision(expected));
+        let response =
             self.request(write.method, &write.path, Some(write.body), REQUEST_TIMEOUT)?;
-        match status {
-            OK | CREATED => (self.dialect.parse_version)(&body).map_err(malformed_response),
+        let current = || {
+            let parsed = (self.dialect.parse_version)(&response.body);
+            let revision = parsed.map_err(malformed_response)?;
+            Ok(version::in_era(response.era, revision))
+        };
+        match response.status {
+            OK | CREATED => current(),
             CONFLICT => {
-                let current = (self.dialect.parse_version)(&body).map_err(malformed_response)?;
-                let stored = (self.dialect.parse_object)(key, &body).ok();
+                let stored = (self.dialect.parse_object)(key, &response.body).ok();
                 Err(PlatformError::Conflict(
                     key.into(),
                     expected,
-                    current,
-                    stored,
+                    current()?,
+                    stored.map(|object| self.in_era(response.era, object)),
                 ))
             }
             other => Err(unexpected_status(other)),
@@ -217,7 +254,33 @@
         }
     }
 
-    fn fetch(&self, path: &str, timeout: Duration) -> Result<(u16, String), PlatformError> {
+    /// The highest era that the platform has stated; 0 if none.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
+    fn in_era(&self, era: u64, object: replica::Object) -> replica::Object {
+        let own_versions = self.dialect.own_versions.iter();
+        let mut own_versions = own_versions.filter(|prefix| object.key.starts_with(**prefix));
+        if own_versions.next().is_some() {
+            return object;
+        }
+        replica::Object {
+            version: version::in_era(era, object.version),
+            ..object
+        }
+    }
+
+    fn listing_in_era(&self, era: u64, listing: Listing) -> Listing {
+        let objects = listing.objects.into_iter();
+        Listing {
+            revision: version::in_era(era, listing.revision),
+            objects: objects.map(|object| self.in_era(era, object)).collect(),
+        }
+    }
+
+    fn fetch(&self, path: &str, timeout: Duration) -> Result<Response, PlatformError> {
         self.request("GET", path, None, timeout)
     }
 
@@ -227,7 +290,7 @@
         path: &str,
         body: Option<String>,
         timeout: Duration,
-    ) -> Result<(u16, String), PlatformError> {
+    ) -> Result<Response, PlatformError> {
         let unavailable = |err: &dyn std::fmt::Display| {
             PlatformError::Unavailable(format!("{method} {path}: {err}"))
         };
@@ -247,21 +310,37 @@
         };
         let mut response = response.map_err(|err| unavailable(&err))?;
         let status = response.status().as_u16();
-        self.log_era(response.headers());
+        let era = self.read_era(response.headers())?;
         let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
         let text = body.read_to_string();
-        Ok((status, text.map_err(|err| unavailable(&err))?))
+        Ok(Response {
+            status,
+            era,
+            body: text.map_err(|err| unavailable(&err))?,
+        })
     }
 
-    /// Logs the platform's era when it changes.
-    fn log_era(&self, headers: &HeaderMap) {
-        let header = self.dialect.era_header;
-        let era = headers.get(header).and_then(|value| value.to_str().ok());
-        let era: u64 = era.and_then(|era| era.parse().ok()).unwrap_or(0);
-        let before = self.era.swap(era, Ordering::Relaxed);
-        if before != era {
+    /// The era in which the platform responded. A response that states none that can be read
+    /// counts as one of the highest era so far; one of an earlier era has come too late.
+    fn read_era(&self, headers: &HeaderMap) -> Result<u64, PlatformError> {
+        let header = headers.get(self.dialect.era_header);
+        let stated = header.map(|value| value.to_str().ok().and_then(|era| era.parse().ok()));
+        let stated = stated.map(|era| era.filter(|era| *era <= version::ERA_MAX));
+        let Some(era) = stated.flatten() else {
+            if let Some(value) = header {
+                warn!(value:?; "the platform states an era that cannot be read");
+            }
+            return Ok(self.era());
+        };
+        let before = self.era.fetch_max(era, Ordering::Relaxed);
+        if before > era {
+            let reason = format!("a response of era {era} came after one of era {before}");
+            return Err(PlatformError::Unavailable(reason));
+        }
+        if before < era {
             info!(before, era; "the platform's era changed");
         }
+        Ok(era)
     }
 
     fn send<T: ureq::AsSendBody>(
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -58,6 +58,8 @@
     /// Header of every response with the era, a number that grows each time the platform comes
     /// back from a copy, has lost later changes, and gives out their revisions again.
     pub era_header: &'static str,
+    /// Key prefixes of objects that state a version of their own instead of the platform's.
+    pub own_versions: &'static [&'static str],
     /// Path of one object.
     pub object_path: fn(key: &str) -> String,
     /// Path of a page of a listing; `cursor` is empty for the first page.
@@ -82,6 +84,7 @@
 pub const OWN: Dialect = Dialect {
     prefixes: &[("", SyncMode::Watch)],
     era_header: "platform-era",
+    own_versions: &[],
     object_path: |key| format!("objects/{key}"),
     list_path: |prefix, _, _| format!("objects?prefix={prefix}"),
     watch_path: |_, after, wait| format!("watch?after={after}&wait_ms={}", wait.as_millis()),
--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -8,7 +8,7 @@
 
 use log::{info, warn};
 use pollenrouter_core::gate::target;
-use pollenrouter_core::{id, replica};
+use pollenrouter_core::{id, replica, version};
 use pollenrouter_platform::client::{Client, PlatformError};
 use pollenrouter_platform::dialect::{Freshness, SyncMode};
 use pollenrouter_platform::object::{self, Change, Member, MemberState, Rejections};
@@ -78,8 +78,8 @@
                 } else if *sync_mode == SyncMode::Watch {
                     revision = watch(&client, prefix, &tx, revision);
                 } else {
-                    thread::sleep(POLL_INTERVAL);
-                    list(&client, prefix, Freshness::AllowStale, &tx);
+                    let freshness = wait_for_poll(&client, version::era(revision));
+                    revision = list(&client, prefix, freshness, &tx);
                 }
             }
         };
@@ -90,6 +90,19 @@
     Ok(())
 }
 
+/// Waits up to [`POLL_INTERVAL`], but not longer than until the platform's era has changed; then
+/// a stale read could still return objects of the era before.
+fn wait_for_poll(client: &Client, era: u64) -> Freshness {
+    let checks = POLL_INTERVAL.as_millis() / RETRY_DELAY.as_millis();
+    for _ in 0..checks {
+        if client.era() > era {
+            return Freshness::Current;
+        }
+        thread::sleep(RETRY_DELAY);
+    }
+    Freshness::AllowStale
+}
+
 /// Whether the prefix covers service documents, which become active only after a read that
 /// is at least as new as this daemon's registration.
 fn includes_documents(prefix: &str) -> bool {
@@ -123,7 +136,7 @@
             listing.revision.max(revision)
         }
         Err(PlatformError::Compacted) => {
-            info!(prefix, revision; "the platform dropped its history, reading all of it");
+            info!(prefix, revision = version::revision(revision); "the platform dropped its history, reading all of it");
             list(client, prefix, Freshness::Current, tx)
         }
         Err(err) => {
