What the system wrote is written again after the platform came back from a copy

Registrations and departures that the platform had acknowledged after the copy was made were gone for good: nobody compared what it has with what had been registered, and a restart of a daemon could take a target back that had left.

Change: a watcher that reads a new era tells the fleet; a daemon whose registration is not in the new era, or not with all that it had registered, registers again one to two seconds later, as its rounds fall. The departures of a host that its object no longer has are kept by every daemon, as they are while the platform is out, and told to the host's next incarnation.

Before: registrations_are_written_again_after_a_restore and the second case of a_departure_survives_a_restore time out after 20 s, each time. After: pass, with the other three.

--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use pollenrouter_core::gate::target::TargetIncarnation;
-use pollenrouter_core::{id, quarantine};
+use pollenrouter_core::{id, quarantine, replica};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -20,6 +20,8 @@
 pub const DEPARTURES: &str = "departures/";
 /// Key prefix of the crashes of targets, which daemons tell each other at once; the host follows.
 pub const CRASHES: &str = "crashes/";
+/// Key of the platform's latest era, as daemons tell each other; its version is the era.
+pub const ERA: &str = "era";
 /// Maximum number of departed incarnations that a member's object keeps; a host has one target at a time.
 pub const DEPARTED_MAX: usize = 16;
 /// Maximum number of changes that an object keeps.
@@ -117,6 +119,18 @@
     format!("{REJECTIONS}{service}").into()
 }
 
+/// Departure of one incarnation of a target on a host, as daemons store it.
+#[must_use]
+pub fn departure(host: &str, incarnation: &TargetIncarnation) -> replica::Object {
+    replica::Object {
+        key: departure_key(host, incarnation),
+        version: 1,
+        value: serde_json::to_string(incarnation)
+            .unwrap_or_default()
+            .into(),
+    }
+}
+
 /// Key of the departure of one incarnation of a target.
 #[must_use]
 pub fn departure_key(host: &str, incarnation: &TargetIncarnation) -> SmolStr {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -3,6 +3,7 @@
 mod activation;
 mod crashes;
 mod departures;
+mod eras;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net;
@@ -13,7 +14,7 @@
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::membership::{self, Membership};
 use pollenrouter_core::{
-    documents, entry, id, probe_share, quarantine, replica, service, startup_sync, table,
+    documents, entry, id, probe_share, quarantine, replica, service, startup_sync, table, version,
 };
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
@@ -93,6 +94,8 @@
     gossip_addresses: BTreeMap<id::HostName, net::SocketAddr>,
     /// Daemons that store a departure of a target on this host, by the departure's key.
     departure_replicas: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
+    /// The platform's era.
+    era: eras::Era,
     startup_sync: startup_sync::StartupSync,
     is_synced: bool,
     /// Crashes of targets on this host.
@@ -115,6 +118,7 @@
             registered_at: None,
             gossip_addresses: BTreeMap::new(),
             departure_replicas: BTreeMap::new(),
+            era: eras::Era::default(),
             startup_sync: startup_sync::StartupSync::default(),
             is_synced: false,
             crash_observer: quarantine::Observer::default(),
@@ -193,6 +197,7 @@
         self.log_older(&listing.objects);
         let input = membership::Input::Read(listing.objects, rand::random());
         let mut effects = self.step(input);
+        self.announce_era(version::era(listing.revision), &mut effects);
         self.check_startup_sync(&mut effects);
         if self.profile.parse_table.is_some() {
             return effects;
@@ -260,6 +265,7 @@
     /// requests missing objects from other daemons.
     pub fn on_round(&mut self) -> Vec<Effect> {
         self.startup_sync.on_round();
+        self.check_registration();
         let mut effects = self.step(membership::Input::Round(rand::random()));
         self.check_startup_sync(&mut effects);
         effects
@@ -316,6 +322,10 @@
             }
             return false;
         }
+        if object.key == object::ERA {
+            self.set_era(object.version);
+            return false;
+        }
         if object.key.starts_with(object::DEPARTURES) {
             effects.extend(self.parse_departure(object).map(Effect::ApplyDeparture));
             return false;
@@ -340,13 +350,19 @@
 
     fn apply_member(&mut self, member: Member, version: id::Version, effects: &mut Vec<Effect>) {
         self.apply_stored_crashes(&member);
+        self.keep_lost_departures(&member, version, effects);
         let is_own_incarnation =
             member.host == self.own.host && member.incarnation == self.own.incarnation;
         if is_own_incarnation {
             self.documents.on_registered(version);
             self.on_own_member_stored(&member, effects);
             let is_current = member.state == self.own.state && member.service == self.own.service;
-            self.registered_at = is_current.then_some(version);
+            let is_restored = self
+                .registered_at
+                .is_some_and(|at| version::era(at) < version::era(version));
+            if !is_restored || self.is_complete_registration(&member) {
+                self.registered_at = is_current.then_some(version);
+            }
         }
         if is_own_incarnation
             && member.state == MemberState::Left
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -28,13 +28,7 @@
 
     /// Asks other daemons to store a departure that the platform has not stored yet.
     pub fn replicate_departure(&mut self, incarnation: &TargetIncarnation) -> Vec<Effect> {
-        let object = replica::Object {
-            key: object::departure_key(&self.own.host, incarnation),
-            version: 1,
-            value: serde_json::to_string(incarnation)
-                .unwrap_or_default()
-                .into(),
-        };
+        let object = object::departure(&self.own.host, incarnation);
         let read = membership::Input::Read(vec![object.clone()], rand::random());
         let mut effects = self.step(read);
         let others = self
--- /dev/null
+++ b/crates/router/src/fleet/eras.rs
@@ -0,0 +1,99 @@
+//! What the platform has lost when it came back from a copy: this daemon's registration, and
+//! departures that other hosts have registered.
+
+use log::info;
+use pollenrouter_core::gate::target::TargetIncarnation;
+use pollenrouter_core::{id, membership, replica, version};
+use pollenrouter_platform::object::{self, Member};
+
+use super::{Effect, Fleet};
+
+/// Rounds from the news of an era to the check of the own registration: in the first one the
+/// registrations that the copy has may still be on their way from the watchers.
+const CHECK_AFTER_ROUNDS: u32 = 2;
+
+/// The platform's era as far as this daemon knows it.
+#[derive(Debug, Default)]
+pub(super) struct Era {
+    number: u64,
+    rounds: u32,
+}
+
+impl Fleet {
+    /// Tells other daemons if the platform has entered a new era; most of them do not read it.
+    pub(super) fn announce_era(&mut self, era: u64, effects: &mut Vec<Effect>) {
+        let is_known = self.era.number >= era;
+        let is_first = self.era.number == 0;
+        self.set_era(era);
+        if !is_known && !is_first {
+            let object = replica::Object {
+                key: object::ERA.into(),
+                version: era,
+                value: "".into(),
+            };
+            let read = membership::Input::Read(vec![object], rand::random());
+            effects.extend(self.step(read));
+        }
+    }
+
+    pub(super) fn set_era(&mut self, era: u64) {
+        if era > self.era.number {
+            self.era = Era {
+                number: era,
+                rounds: 0,
+            };
+        }
+    }
+
+    /// Registers again if the platform does not have this daemon's registration since it came
+    /// back from a copy. Daemons do so at different times, as their rounds begin.
+    pub(super) fn check_registration(&mut self) {
+        self.era.rounds = self.era.rounds.saturating_add(1);
+        let registered_era = self.registered_at.map(version::era);
+        let is_lost = registered_era.is_some_and(|era| era < self.era.number);
+        if is_lost && self.era.rounds >= CHECK_AFTER_ROUNDS {
+            info!(era = self.era.number; "the platform has lost this daemon's registration");
+            self.register();
+        }
+    }
+
+    /// Whether a stored registration has all that this daemon has registered.
+    pub(super) fn is_complete_registration(&self, stored: &Member) -> bool {
+        let is_stored = |departed: &TargetIncarnation| {
+            let mut stored = stored.departed.iter();
+            stored.any(|stored| stored.implies_departure_of(departed))
+        };
+        stored.incarnation == self.own.incarnation
+            && stored.state == self.own.state
+            && stored.service == self.own.service
+            && stored.crashes == self.own.crashes
+            && self.own.departed.iter().all(is_stored)
+    }
+
+    /// Keeps the departures of a host that the platform has lost, for its next incarnation.
+    pub(super) fn keep_lost_departures(
+        &mut self,
+        member: &Member,
+        version: id::Version,
+        effects: &mut Vec<Effect>,
+    ) {
+        let held_version = self.member_versions.get(&member.host).copied();
+        if held_version.is_none_or(|held| version::era(held) >= version::era(version)) {
+            return;
+        }
+        let Some(held) = self.members.get(&member.host) else {
+            return;
+        };
+        let is_lost = |departed: &&TargetIncarnation| {
+            let mut stored = member.departed.iter();
+            !stored.any(|stored| stored.implies_departure_of(departed))
+        };
+        let lost = held.departed.iter().filter(is_lost);
+        let objects: Vec<replica::Object> = lost
+            .map(|incarnation| object::departure(&member.host, incarnation))
+            .collect();
+        if !objects.is_empty() {
+            effects.extend(self.step(membership::Input::Read(objects, rand::random())));
+        }
+    }
+}
