Members that only a restored platform still has are not believed

After a restore, for the one to two seconds until the daemons concerned have registered again, the fleet took the copy's word for who they are: calls to a daemon that had restarted since the copy named its earlier incarnation and were refused with 503.

Change: a member object that names an incarnation which another has replaced, or brings back one that has left, changes nothing; incarnations are drawn anew at each start and do not come back.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -5,7 +5,7 @@
 mod departures;
 mod eras;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, mpsc};
@@ -88,6 +88,8 @@
     profile: Profile,
     members: BTreeMap<id::HostName, Member>,
     member_versions: BTreeMap<id::HostName, id::Version>,
+    /// Earlier incarnations of each host, oldest first.
+    replaced: BTreeMap<id::HostName, VecDeque<id::Incarnation>>,
     /// Version of this daemon's latest registration; `None` until the platform stored it.
     registered_at: Option<id::Version>,
     /// Addresses stated in gossip messages.
@@ -115,6 +117,7 @@
             profile,
             members: BTreeMap::new(),
             member_versions: BTreeMap::new(),
+            replaced: BTreeMap::new(),
             registered_at: None,
             gossip_addresses: BTreeMap::new(),
             departure_replicas: BTreeMap::new(),
@@ -371,13 +374,19 @@
             warn!("another daemon reported this one as gone, registering again");
             self.register();
         }
+        let is_outdated = self.is_outdated(&member, version);
+        self.member_versions.insert(member.host.clone(), version);
+        if is_outdated {
+            info!(host:% = member.host, incarnation = member.incarnation; "outdated member ignored");
+            return;
+        }
+        self.record_replaced(&member);
         info!(
             host:% = member.host,
             state:? = member.state,
             incarnation = member.incarnation;
             "member changed"
         );
-        self.member_versions.insert(member.host.clone(), version);
         self.members.insert(member.host.clone(), member);
     }
 
--- a/crates/router/src/fleet/eras.rs
+++ b/crates/router/src/fleet/eras.rs
@@ -4,7 +4,7 @@
 use log::info;
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::{id, membership, replica, version};
-use pollenrouter_platform::object::{self, Member};
+use pollenrouter_platform::object::{self, Member, MemberState};
 
 use super::{Effect, Fleet};
 
@@ -12,6 +12,9 @@
 /// registrations that the copy has may still be on their way from the watchers.
 const CHECK_AFTER_ROUNDS: u32 = 2;
 
+/// Earlier incarnations that are remembered of each host.
+const REPLACED_MAX: usize = 8;
+
 /// The platform's era as far as this daemon knows it.
 #[derive(Debug, Default)]
 pub(super) struct Era {
@@ -70,6 +73,36 @@
             && self.own.departed.iter().all(is_stored)
     }
 
+    /// Whether a member object describes the host as it was before what is known of it, so that
+    /// only a restored platform can have it: an incarnation that another has replaced, or one
+    /// that has left.
+    pub(super) fn is_outdated(&self, member: &Member, version: id::Version) -> bool {
+        let Some(held) = self.members.get(&member.host) else {
+            return false;
+        };
+        if held.incarnation != member.incarnation {
+            let replaced = self.replaced.get(&member.host);
+            return replaced.is_some_and(|replaced| replaced.contains(&member.incarnation));
+        }
+        let held_version = self.member_versions.get(&member.host).copied();
+        let is_restored =
+            held_version.is_some_and(|held| version::era(held) < version::era(version));
+        is_restored && held.state == MemberState::Left
+    }
+
+    /// Remembers the incarnation that this member replaces.
+    pub(super) fn record_replaced(&mut self, member: &Member) {
+        let held = self.members.get(&member.host).map(|held| held.incarnation);
+        let Some(held) = held.filter(|held| *held != member.incarnation) else {
+            return;
+        };
+        let replaced = self.replaced.entry(member.host.clone()).or_default();
+        replaced.push_back(held);
+        if replaced.len() > REPLACED_MAX {
+            replaced.pop_front();
+        }
+    }
+
     /// Keeps the departures of a host that the platform has lost, for its next incarnation.
     pub(super) fn keep_lost_departures(
         &mut self,
