--- a/crates/core/src/rate.rs
+++ b/crates/core/src/rate.rs
@@ -1,4 +1,4 @@
-//! Rates of calls in integer arithmetic.
+//! Rates of calls, and the spacing of calls by them.
 
 use std::fmt;
 use std::time::Duration;
