The first restore of a platform whose eras begin at 0 is told to the fleet too

A daemon that does not watch the platform was not registered again after the first restore, if the platform's first era is 0: 0 stood for an era that is not known yet, whose change is no news.

Before: the case of registrations_are_written_again_after_a_restore with three daemons in one failure domain, one of which does not watch, times out after 20 s. After: all seven cases of the file pass.

--- a/crates/router/src/fleet/eras.rs
+++ b/crates/router/src/fleet/eras.rs
@@ -18,17 +18,18 @@
 /// The platform's era as far as this daemon knows it.
 #[derive(Debug, Default)]
 pub(super) struct Era {
-    number: u64,
+    /// `None` until it is known.
+    number: Option<u64>,
+    /// Rounds since it became known.
     rounds: u32,
 }
 
 impl Fleet {
     /// Tells other daemons if the platform has entered a new era; most of them do not read it.
     pub(super) fn announce_era(&mut self, era: u64, effects: &mut Vec<Effect>) {
-        let is_known = self.era.number >= era;
-        let is_first = self.era.number == 0;
+        let is_news = self.era.number.is_some_and(|known| known < era);
         self.set_era(era);
-        if !is_known && !is_first {
+        if is_news {
             let object = replica::Object {
                 key: object::ERA.into(),
                 version: era,
@@ -40,9 +41,9 @@
     }
 
     pub(super) fn set_era(&mut self, era: u64) {
-        if era > self.era.number {
+        if self.era.number.is_none_or(|known| known < era) {
             self.era = Era {
-                number: era,
+                number: Some(era),
                 rounds: 0,
             };
         }
@@ -53,9 +54,9 @@
     pub(super) fn check_registration(&mut self) {
         self.era.rounds = self.era.rounds.saturating_add(1);
         let registered_era = self.registered_at.map(version::era);
-        let is_lost = registered_era.is_some_and(|era| era < self.era.number);
+        let is_lost = registered_era.is_some() && registered_era < self.era.number;
         if is_lost && self.era.rounds >= CHECK_AFTER_ROUNDS {
-            info!(era = self.era.number; "the platform has lost this daemon's registration");
+            info!(era = self.era.number.unwrap_or_default(); "the platform has lost this daemon's registration");
             self.register();
         }
     }
