review: a lost connection between daemons allows one backend too many

Cause as far as known: the entry asks whether it may retry before it counts the attempt whose connection was lost.

--- /dev/null
+++ b/review/harness/backend.rs
@@ -0,0 +1,127 @@
+//! Stand-in for a backend and for the heartbeats that it sends to the daemon on its host.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::http::{self, Message};
+use crate::record::Record;
+
+pub const SLOTS: usize = 18;
+
+/// Start of a run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The client's `Attempt-Id`.
+    pub id: String,
+    pub backend: String,
+    pub at: Duration,
+}
+
+#[derive(Clone)]
+pub struct Backend {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub runs: Arc<Mutex<Vec<Run>>>,
+    running: Arc<AtomicUsize>,
+    sequence: Arc<AtomicU64>,
+    born: u64,
+    record: Record,
+}
+
+impl Backend {
+    pub fn start(id: &str, service: &str, runs: &Arc<Mutex<Vec<Run>>>, record: &Record) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("socket must bind");
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let backend = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            address: listener.local_addr().expect("socket must have an address"),
+            runs: runs.clone(),
+            running: Arc::default(),
+            sequence: Arc::default(),
+            born: u64::try_from(since.as_millis()).unwrap_or(0),
+            record: record.clone(),
+        };
+        let handler = backend.clone();
+        http::serve(listener, move |request| Some(handler.handle(request)));
+        backend
+    }
+
+    /// Runs a request for as long as its path says, `/prefix/work=MS`, but no longer than its
+    /// deadline.
+    fn handle(&self, request: &Message) -> Vec<u8> {
+        let load = format!("{},0,{SLOTS},100", self.running.load(Ordering::SeqCst));
+        if request.target() == "/health" {
+            let headers = [("Instance-Id", self.id.as_str()), ("Server-Load", load.as_str())];
+            return http::response(200, &headers, b"");
+        }
+        let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
+        let refuse = |status| {
+            let headers = [("Attempt-Id", attempt.as_str()), ("Not-Executed", "1")];
+            http::response(status, &headers, b"")
+        };
+        if attempt.is_empty() {
+            return refuse(400);
+        }
+        if request.header("target-instance").is_some_and(|id| id != self.id) {
+            return refuse(421);
+        }
+        if self.running.fetch_add(1, Ordering::SeqCst) >= SLOTS {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            return refuse(503);
+        }
+        let run = Run {
+            id: attempt.clone(),
+            backend: self.id.clone(),
+            at: self.record.now(),
+        };
+        self.record.line(&format!("run {} at {}", run.id, run.backend));
+        self.runs.lock().unwrap().push(run);
+        let work = request.target().rsplit_once("work=").and_then(|(_, ms)| ms.parse().ok());
+        let deadline = request.header("deadline-ms").and_then(|ms| ms.parse().ok());
+        let deadline = deadline.unwrap_or(u64::MAX);
+        let work = work.unwrap_or(5);
+        thread::sleep(Duration::from_millis(work.min(deadline)));
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        let status = if work <= deadline { 200 } else { 504 };
+        let seal = format!("seal.{}.{attempt}", self.id);
+        let headers = [
+            ("Attempt-Id", attempt.as_str()),
+            ("Server-Seal", seal.as_str()),
+            ("Server-Load", load.as_str()),
+        ];
+        http::response(status, &headers, format!("answer to {attempt}").as_bytes())
+    }
+
+    /// Sends heartbeats to the daemon's `control` address until the process ends.
+    pub fn beat(&self, control: SocketAddr, zone: &str) {
+        let (backend, zone) = (self.clone(), zone.to_owned());
+        thread::spawn(move || {
+            loop {
+                let acked = backend.beat_once(control, &zone);
+                thread::sleep(Duration::from_millis(if acked { 1500 } else { 200 }));
+            }
+        });
+    }
+
+    fn beat_once(&self, control: SocketAddr, zone: &str) -> bool {
+        let body = format!(
+            r#"{{"service":"{}","address":"{}","zone":"{zone}","version":"v1","slots":{SLOTS},"state":"ready","coldRemainingS":0,"sequence":{},"born":{}}}"#,
+            self.service,
+            self.address,
+            self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
+            self.born
+        );
+        let request = format!(
+            "POST /api/instances/{}/heartbeat HTTP/1.1\r\nHost: {control}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            self.id,
+            body.len()
+        );
+        let acked = http::call(control, request.as_bytes(), Duration::from_secs(1));
+        acked.is_some_and(|response| response.status() / 100 == 2)
+    }
+}
