review: silent connections to the store hide a new configuration for up to 11 s

Seen: after the open connections to the store went silent, 132 to 216 of 240 requests sent later than configApplyS after an acknowledgement were run by the old service (CONFIG).

Cause as far as known: a watch notices a silent connection only after 11.5 s, and nothing else reads the configuration.

--- a/review/harness/backend.rs
+++ b/review/harness/backend.rs
@@ -6,36 +6,63 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Message};
+use crate::http::{self, Message, Server};
 use crate::record::Record;
 
 pub const SLOTS: usize = 18;
+/// Time from a crash to the next start.
+const DOWN: Duration = Duration::from_secs(2);
 
 /// Start of a run.
 #[derive(Clone, Debug)]
 pub struct Run {
     /// The client's `Attempt-Id`.
     pub id: String,
+    /// The backend's first id.
     pub backend: String,
     pub at: Duration,
 }
 
+/// Whether a request crashes the backend that begins to run it.
+pub type Crashes = fn(&Message) -> bool;
+
+/// One start of a backend.
+#[derive(Clone, Default)]
+struct Incarnation {
+    id: String,
+    born: u64,
+    server: Server,
+    is_down: bool,
+}
+
 #[derive(Clone)]
 pub struct Backend {
+    /// The id of the first incarnation; later ones add a number.
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<Run>>>,
     running: Arc<AtomicUsize>,
     sequence: Arc<AtomicU64>,
-    born: u64,
+    incarnation: Arc<Mutex<Incarnation>>,
+    crashes: Option<Crashes>,
     record: Record,
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(0)
+}
+
 impl Backend {
-    pub fn start(id: &str, service: &str, runs: &Arc<Mutex<Vec<Run>>>, record: &Record) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        runs: &Arc<Mutex<Vec<Run>>>,
+        crashes: Option<Crashes>,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("socket must bind");
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let backend = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -43,31 +70,64 @@
             runs: runs.clone(),
             running: Arc::default(),
             sequence: Arc::default(),
-            born: u64::try_from(since.as_millis()).unwrap_or(0),
+            incarnation: Arc::default(),
+            crashes,
             record: record.clone(),
         };
-        let handler = backend.clone();
-        http::serve(listener, move |request| Some(handler.handle(request)));
+        backend.serve(listener, id.to_owned());
         backend
     }
 
+    fn serve(&self, listener: TcpListener, id: String) {
+        let handler = self.clone();
+        let mut incarnation = self.incarnation.lock().unwrap();
+        self.sequence.store(0, Ordering::SeqCst);
+        *incarnation = Incarnation {
+            id,
+            born: unix_millis(),
+            server: Server::start(listener, move |request| handler.handle(request)),
+            is_down: false,
+        };
+    }
+
+    /// Ends this incarnation; the next one starts after [`DOWN`].
+    fn crash(&self) {
+        let mut incarnation = self.incarnation.lock().unwrap();
+        if incarnation.is_down {
+            return;
+        }
+        incarnation.is_down = true;
+        incarnation.server.crash();
+        self.record.line(&format!("crash of {}", incarnation.id));
+        let backend = self.clone();
+        let id = format!("{}-{}", self.id, incarnation.born);
+        thread::spawn(move || {
+            thread::sleep(DOWN);
+            if let Ok(listener) = TcpListener::bind(backend.address) {
+                backend.running.store(0, Ordering::SeqCst);
+                backend.serve(listener, id);
+            }
+        });
+    }
+
     /// Runs a request for as long as its path says, `/prefix/work=MS`, but no longer than its
     /// deadline.
-    fn handle(&self, request: &Message) -> Vec<u8> {
+    fn handle(&self, request: &Message) -> Option<Vec<u8>> {
+        let own_id = self.incarnation.lock().unwrap().id.clone();
         let load = format!("{},0,{SLOTS},100", self.running.load(Ordering::SeqCst));
         if request.target() == "/health" {
-            let headers = [("Instance-Id", self.id.as_str()), ("Server-Load", load.as_str())];
-            return http::response(200, &headers, b"");
+            let headers = [("Instance-Id", own_id.as_str()), ("Server-Load", load.as_str())];
+            return Some(http::response(200, &headers, b""));
         }
         let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
         let refuse = |status| {
             let headers = [("Attempt-Id", attempt.as_str()), ("Not-Executed", "1")];
-            http::response(status, &headers, b"")
+            Some(http::response(status, &headers, b""))
         };
         if attempt.is_empty() {
             return refuse(400);
         }
-        if request.header("target-instance").is_some_and(|id| id != self.id) {
+        if request.header("target-instance").is_some_and(|id| id != own_id) {
             return refuse(421);
         }
         if self.running.fetch_add(1, Ordering::SeqCst) >= SLOTS {
@@ -81,6 +141,10 @@
         };
         self.record.line(&format!("run {} at {}", run.id, run.backend));
         self.runs.lock().unwrap().push(run);
+        if self.crashes.is_some_and(|crashes| crashes(request)) {
+            self.crash();
+            return None;
+        }
         let work = request.target().rsplit_once("work=").and_then(|(_, ms)| ms.parse().ok());
         let deadline = request.header("deadline-ms").and_then(|ms| ms.parse().ok());
         let deadline = deadline.unwrap_or(u64::MAX);
@@ -94,7 +158,8 @@
             ("Server-Seal", seal.as_str()),
             ("Server-Load", load.as_str()),
         ];
-        http::response(status, &headers, format!("answer to {attempt}").as_bytes())
+        let body = format!("answer to {attempt}");
+        Some(http::response(status, &headers, body.as_bytes()))
     }
 
     /// Sends heartbeats to the daemon's `control` address until the process ends.
@@ -109,16 +174,20 @@
     }
 
     fn beat_once(&self, control: SocketAddr, zone: &str) -> bool {
+        let incarnation = self.incarnation.lock().unwrap().clone();
+        if incarnation.is_down {
+            return false;
+        }
         let body = format!(
             r#"{{"service":"{}","address":"{}","zone":"{zone}","version":"v1","slots":{SLOTS},"state":"ready","coldRemainingS":0,"sequence":{},"born":{}}}"#,
             self.service,
             self.address,
             self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
-            self.born
+            incarnation.born
         );
         let request = format!(
             "POST /api/instances/{}/heartbeat HTTP/1.1\r\nHost: {control}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-            self.id,
+            incarnation.id,
             body.len()
         );
         let acked = http::call(control, request.as_bytes(), Duration::from_secs(1));
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -9,9 +9,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::backend::{Backend, Run};
+use crate::backend::{Backend, Crashes, Run};
 use crate::http;
 use crate::json;
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -33,6 +34,8 @@
 pub struct Fleet {
     pub machines: Vec<Machine>,
     pub store: Store,
+    /// Between the daemons and the store.
+    pub proxy: Proxy,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub folder: PathBuf,
 }
@@ -55,18 +58,32 @@
     /// Starts one machine for each of `services`, in the zone that stands beside it, with the
     /// configuration that is given, and waits until all daemons are ready.
     pub fn start(services: &[(&str, &str)], config: &str, record: &Record) -> Self {
+        Self::start_with(services, config, None, record)
+    }
+
+    /// Starts a deployment in which some requests crash the backends that run them.
+    pub fn start_with(
+        services: &[(&str, &str)],
+        config: &str,
+        crashes: Option<Crashes>,
+        record: &Record,
+    ) -> Self {
         let folder = std::env::temp_dir().join(format!("pollenrouter-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the folder must be writable");
         let store = Store::default();
         let listener = TcpListener::bind("127.0.0.1:0").expect("socket must bind");
-        let store_address = listener.local_addr().expect("socket must have an address");
+        let behind = listener.local_addr().expect("socket must have an address");
         store.serve(listener);
+        let proxy = Proxy::default();
+        let listener = TcpListener::bind("127.0.0.1:0").expect("socket must bind");
+        let store_address = listener.local_addr().expect("socket must have an address");
+        proxy.serve(listener, behind);
         store.put("config", "main", json::parse(config).expect("the configuration must be JSON"));
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-        let mut fleet = Self { machines: Vec::new(), store, runs, folder };
+        let mut fleet = Self { machines: Vec::new(), store, proxy, runs, folder };
         for (i, (service, zone)) in services.iter().enumerate() {
             let name = format!("sidecar-{zone}-{}", i + 1);
-            let backend = Backend::start(&format!("i-{}", i + 1), service, &fleet.runs, record);
+            let backend = Backend::start(&format!("i-{}", i + 1), service, &fleet.runs, crashes, record);
             let machine = Machine {
                 outbound: free_address(),
                 control: free_address(),
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 over blocking sockets, as far as the stand-ins need it.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -88,29 +88,69 @@
     bytes
 }
 
-/// Serves each connection in a thread of its own; `handle` answers one request at a time and
-/// returns `None` to close the connection.
+/// A server that can end as a process does: its port refuses, and its connections close.
+#[derive(Clone, Default)]
+pub struct Server {
+    listener: Arc<Mutex<Option<TcpListener>>>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Serves each connection in a thread of its own; `handle` answers one request at a time and
+    /// returns `None` to close the connection.
+    pub fn start<F>(listener: TcpListener, handle: F) -> Self
+    where
+        F: Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static,
+    {
+        let server = Self::default();
+        listener.set_nonblocking(true).expect("the listener must be usable");
+        *server.listener.lock().unwrap() = Some(listener);
+        let (accepting, handle) = (server.clone(), Arc::new(handle));
+        thread::spawn(move || {
+            loop {
+                let accepted = match &*accepting.listener.lock().unwrap() {
+                    None => return,
+                    Some(listener) => listener.accept(),
+                };
+                let Ok((mut stream, _)) = accepted else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
+                if let Ok(stream) = stream.try_clone() {
+                    accepting.connections.lock().unwrap().push(stream);
+                }
+                let handle = handle.clone();
+                thread::spawn(move || {
+                    let mut rest = Vec::new();
+                    while let Some(request) = read(&mut stream, &mut rest) {
+                        let Some(bytes) = handle(&request) else { break };
+                        if stream.write_all(&bytes).is_err() {
+                            break;
+                        }
+                    }
+                    let _ = stream.shutdown(Shutdown::Both);
+                });
+            }
+        });
+        server
+    }
+
+    /// Ends the server.
+    pub fn crash(&self) {
+        self.listener.lock().unwrap().take();
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Serves until the process ends.
 pub fn serve<F>(listener: TcpListener, handle: F)
 where
     F: Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static,
 {
-    let handle = Arc::new(handle);
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(mut stream) = stream else { continue };
-            let handle = handle.clone();
-            thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let mut rest = Vec::new();
-                while let Some(request) = read(&mut stream, &mut rest) {
-                    let Some(bytes) = handle(&request) else { return };
-                    if stream.write_all(&bytes).is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
+    Server::start(listener, handle);
 }
 
 /// Sends one request on a new connection and reads the response.
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,10 +5,13 @@
 
 mod attempts;
 mod backend;
+mod crashes;
 mod fleet;
 mod http;
 mod json;
+mod proxy;
 mod record;
+mod silence;
 mod store;
 
 use std::env;
@@ -24,6 +27,8 @@
     let record = record::Record::create(path);
     let broken = match case.as_str() {
         "attempts" => attempts::run(trouble, &record),
+        "crashes" => crashes::run(trouble, &record),
+        "silence" => silence::run(trouble, &record),
         _ => {
             println!("no such case");
             return ExitCode::from(2);
