review: a zone that lost its watchers keeps an old configuration

Seen: after three of a zone's five machines were lost for good, the other two went on using the old configuration for the whole 10 s judged: 96 to 99 of their 100 requests were run by the old service (CONFIG).

Cause as far as known: a daemon watches the store in place of another one only if its direct successor on the ring is an assigned watcher.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod json;
+mod lost_watchers;
 mod proxy;
 mod record;
 mod silence;
@@ -28,6 +29,7 @@
     let broken = match case.as_str() {
         "attempts" => attempts::run(trouble, &record),
         "crashes" => crashes::run(trouble, &record),
+        "lost-watchers" => lost_watchers::run(trouble, &record),
         "silence" => silence::run(trouble, &record),
         _ => {
             println!("no such case");
