review: case of large bodies that exceed a daemon's memory

Seen: 24 clients that send a body of 15 MiB each at once, as the configuration allows, take a daemon past 260 MB. The platform kills it, and 8 requests that it has passed on end with a closed connection and no answer. With 14 clients the peak is 221 MB and all is answered.

Cause: nothing limits the bodies of all callers' connections together.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod backend;
+mod bodies;
 mod crashes;
 mod fleet;
 mod http;
@@ -27,6 +28,7 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(path);
     let broken = match case.as_str() {
+        "bodies" => bodies::run(trouble, &record),
         "attempts" => attempts::run(trouble, &record),
         "crashes" => crashes::run(trouble, &record),
         "lost-watchers" => lost_watchers::run(trouble, &record),
