review: case of a zone that loses three machines and no longer watches the store

Seen: after the loss of both watchers of a zone and of their deputy, the two machines that are left handle requests by the old configuration for 26 s.

Cause: a lost watcher is replaced only by its predecessor on the ring; if that is lost as well, by nobody until it has been reported as gone after 30 rounds.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -15,6 +15,7 @@
 mod record;
 mod silence;
 mod store;
+mod zone_loss;
 
 use std::env;
 use std::process::ExitCode;
@@ -32,6 +33,7 @@
         "attempts" => attempts::run(trouble, &record),
         "crashes" => crashes::run(trouble, &record),
         "lost-watchers" => lost_watchers::run(trouble, &record),
+        "zone-loss" => zone_loss::run(trouble, &record),
         "silence" => silence::run(trouble, &record),
         _ => {
             println!("no such case");
