review: case of a restart with a store that sends no object with the 409 to a POST

Seen: after all daemons are killed and started again, none can register, and none of the requests to machines of other services is served, for good.

Cause: the client takes a 409 without the object for an unavailable store and repeats the creation without end.

--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -61,16 +61,37 @@
         Self::start_with(services, config, None, record)
     }
 
+    /// Starts a deployment whose store is set up by `set_up`.
+    pub fn start_on(
+        services: &[(&str, &str)],
+        config: &str,
+        record: &Record,
+        set_up: impl Fn(&Store),
+    ) -> Self {
+        Self::start_all(services, config, None, record, set_up)
+    }
+
     /// Starts a deployment in which some requests crash the backends that run them.
     pub fn start_with(
         services: &[(&str, &str)],
         config: &str,
         crashes: Option<Crashes>,
         record: &Record,
+    ) -> Self {
+        Self::start_all(services, config, crashes, record, |_| {})
+    }
+
+    fn start_all(
+        services: &[(&str, &str)],
+        config: &str,
+        crashes: Option<Crashes>,
+        record: &Record,
+        set_up: impl Fn(&Store),
     ) -> Self {
         let folder = std::env::temp_dir().join(format!("pollenrouter-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the folder must be writable");
         let store = Store::default();
+        set_up(&store);
         let listener = TcpListener::bind("127.0.0.1:0").expect("socket must bind");
         let behind = listener.local_addr().expect("socket must have an address");
         store.serve(listener);
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -13,6 +13,7 @@
 mod lost_watchers;
 mod proxy;
 mod record;
+mod restarted;
 mod silence;
 mod store;
 mod zone_loss;
@@ -34,6 +35,7 @@
         "crashes" => crashes::run(trouble, &record),
         "lost-watchers" => lost_watchers::run(trouble, &record),
         "zone-loss" => zone_loss::run(trouble, &record),
+        "restarted" => restarted::run(trouble, &record),
         "silence" => silence::run(trouble, &record),
         _ => {
             println!("no such case");
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -17,6 +17,8 @@
     history: Vec<(u64, String, Json)>,
     /// While set, every call gets 503, which means that nothing was done.
     down: bool,
+    /// Whether a 409 for an object that exists already comes without the object.
+    bare_conflicts: bool,
 }
 
 #[derive(Clone, Default)]
@@ -40,6 +42,10 @@
         self.0.1.notify_all();
     }
 
+    pub fn set_bare_conflicts(&self) {
+        self.0.0.lock().unwrap().bare_conflicts = true;
+    }
+
     /// The objects of a kind that the system has written, as text.
     pub fn specs(&self, kind: &str) -> Vec<String> {
         let state = self.0.0.lock().unwrap();
@@ -96,6 +102,9 @@
         match &held {
             Some(object) => {
                 let is_current = object.get("metadata").get("revision").number() == expected;
+                if creates && state.bare_conflicts {
+                    return reply(409, &json::map(&[("error", Json::Str("exists".to_owned()))]));
+                }
                 if creates || expected.is_some() && !is_current {
                     return reply(409, object);
                 }
