--- a/review/earlier/3/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Silences the open connections to the store. TROUBLE=0 leaves that out.
 set -u
 cd "$(dirname "$0")/../.."
-exec timeout -k 5 100 target/review/harness silence review/3/record.txt
+exec timeout -k 5 100 target/review/harness silence review/1/record.txt
--- a/review/earlier/4/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # of another caller with the same path.
 set -u
 cd "$(dirname "$0")/../.."
-exec timeout -k 5 100 target/review/harness crashes review/4/record.txt
+exec timeout -k 5 100 target/review/harness crashes review/5/record.txt
