--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -88,7 +88,7 @@
         record: &Record,
         set_up: impl Fn(&Store),
     ) -> Self {
-        let folder = std::env::temp_dir().join(format!("pollenrouter-review-{}", std::process::id()));
+        let folder = folder();
         fs::create_dir_all(&folder).expect("the folder must be writable");
         let store = Store::default();
         set_up(&store);
@@ -242,10 +242,16 @@
     }
 }
 
+/// The temporary folder of this process.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("pollenrouter-review-{}", std::process::id()))
+}
+
 /// Ends the script because the case could not run.
 pub fn cannot_run(reason: &str) -> ! {
     println!("could not run: {reason}");
     // Children of this process get the signal as well.
     let _ = Command::new("pkill").args(["-KILL", "-P", &std::process::id().to_string()]).status();
+    let _ = fs::remove_dir_all(folder());
     std::process::exit(2)
 }
