review: a request that crashes backends is not kept from them if another caller's runs

Requests are told apart by host, method, path and body, not by their caller. Requests of another caller with the same path, which run to their end, clear the one that crashes each backend that runs it: it reaches backends for as long as it comes (BUDGET), and the service is down most of the time.

--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -26,6 +26,11 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// The request to this path from a machine of this service crashes each backend that runs it.
+pub const POISON: &str = "/list/poison";
+pub const POISON_CALLER: &str = "bookings";
+const DOWN_TIME: Duration = Duration::from_secs(3);
+
 /// A run at a backend.
 #[derive(Clone)]
 pub struct Run {
@@ -77,7 +82,10 @@
     /// While set, the backend of the machine sends no heartbeats.
     pub is_quiet: Arc<AtomicBool>,
     /// Start of the backend, Unix milliseconds.
-    pub born: u128,
+    born: Mutex<u128>,
+    /// Times that the backend has started again.
+    restarts: AtomicU64,
+    server: OnceLock<Arc<http::Server>>,
     /// Number of its latest heartbeat.
     sequence: AtomicU64,
 }
@@ -98,8 +106,35 @@
     pub fn control(&self) -> SocketAddr {
         self.address(8306)
     }
+    /// Id of the backend.
     pub fn backend(&self) -> String {
-        format!("i-{}", self.name)
+        match self.restarts.load(Ordering::SeqCst) {
+            0 => format!("i-{}", self.name),
+            n => format!("i-{}-{n}", self.name),
+        }
+    }
+
+    pub fn born(&self) -> u128 {
+        *self.born.lock().unwrap()
+    }
+
+    /// The backend crashes, and is back after some seconds as a new incarnation.
+    fn crash(self: &Arc<Self>) {
+        if self.is_quiet.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let machine = self.clone();
+        thread::spawn(move || {
+            let server = machine.server.get().expect("server of the backend");
+            server.crash();
+            thread::sleep(DOWN_TIME);
+            machine.restarts.fetch_add(1, Ordering::SeqCst);
+            machine.sequence.store(0, Ordering::SeqCst);
+            *machine.born.lock().unwrap() = unix_millis();
+            if server.listen().is_ok() {
+                machine.is_quiet.store(false, Ordering::SeqCst);
+            }
+        });
     }
 
     /// Fills in the template of the deploy file.
@@ -136,7 +171,7 @@
     /// The body of the backend's next heartbeat.
     pub fn next_heartbeat(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let (service, address, zone, born) = (&self.service, self.app(), &self.zone, self.born);
+        let (service, address, zone, born) = (&self.service, self.app(), &self.zone, self.born());
         format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":9,"state":"ready","coldRemainingS":0,"sequence":{sequence},"born":{born}}}"#
         )
@@ -240,7 +275,9 @@
                 child: Mutex::default(),
                 is_lost: Arc::default(),
                 is_quiet: Arc::default(),
-                born: unix_millis(),
+                born: Mutex::new(unix_millis()),
+                restarts: AtomicU64::new(0),
+                server: OnceLock::new(),
                 sequence: AtomicU64::new(0),
             })
         });
@@ -308,10 +345,11 @@
 
     fn start_backend(&self, machine: &Arc<Machine>) {
         let (log, owner) = (self.log.clone(), machine.clone());
-        let served = http::serve(machine.app(), move |message| answer(&log, &owner, message));
-        if let Err(err) = served {
+        let server = http::Server::new(machine.app(), move |message| answer(&log, &owner, message));
+        if let Err(err) = server.listen() {
             unusable(self, &format!("a backend cannot listen: {err}"));
         }
+        let _ = machine.server.set(server);
         let machine = machine.clone();
         thread::spawn(move || {
             while !machine.is_lost.load(Ordering::SeqCst) {
@@ -398,7 +436,7 @@
     std::process::exit(2);
 }
 
-fn answer(log: &Log, machine: &Machine, message: &Message) -> Option<http::Answer> {
+fn answer(log: &Log, machine: &Arc<Machine>, message: &Message) -> Option<http::Answer> {
     if machine.is_lost.load(Ordering::SeqCst) {
         return None;
     }
@@ -432,6 +470,12 @@
         backend: machine.backend(),
     });
     thread::sleep(WORK);
+    let caller = message.header("Caller-Service").unwrap_or("");
+    if path == POISON && caller == POISON_CALLER {
+        machine.crash();
+        thread::sleep(DOWN_TIME);
+        return None;
+    }
     let seal = ("Server-Seal", format!("seal.{attempt}"));
     Some((
         200,
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -2,8 +2,8 @@
 //! opens a connection for each request.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -81,32 +81,73 @@
     text.into_bytes()
 }
 
-/// Serves requests; `handle` returns `None` to close the connection without an answer.
-pub fn serve<F>(address: SocketAddr, handle: F) -> std::io::Result<()>
-where
-    F: Fn(&Message) -> Option<Answer> + Send + Sync + 'static,
-{
-    let listener = TcpListener::bind(address)?;
-    let handle = Arc::new(handle);
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(mut stream) = stream else { continue };
-            let handle = handle.clone();
-            thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let mut buf = Vec::new();
-                while let Some(message) = read(&mut stream, &mut buf) {
-                    let Some(answer) = handle(&message) else {
-                        return;
-                    };
-                    if stream.write_all(&encode(&answer)).is_err() {
-                        return;
-                    }
-                }
-            });
+/// Returns `None` to close the connection without an answer.
+type Handle = dyn Fn(&Message) -> Option<Answer> + Send + Sync;
+
+/// A server that can end like a process that crashes, and listen again.
+pub struct Server {
+    address: SocketAddr,
+    handle: Box<Handle>,
+    /// Connections since the server began to listen; `None` while it does not.
+    open: Mutex<Option<Vec<TcpStream>>>,
+}
+
+impl Server {
+    pub fn new<F>(address: SocketAddr, handle: F) -> Arc<Self>
+    where
+        F: Fn(&Message) -> Option<Answer> + Send + Sync + 'static,
+    {
+        Arc::new(Self {
+            address,
+            handle: Box::new(handle),
+            open: Mutex::default(),
+        })
+    }
+
+    pub fn listen(self: &Arc<Self>) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address)?;
+        *self.open.lock().unwrap() = Some(Vec::new());
+        let server = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut open = server.open.lock().unwrap();
+                let Some(streams) = open.as_mut() else {
+                    return;
+                };
+                let Ok(stream) = stream else { continue };
+                streams.extend(stream.try_clone());
+                let server = server.clone();
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        Ok(())
+    }
+
+    /// Ends listening and all connections.
+    pub fn crash(&self) {
+        let streams = self.open.lock().unwrap().take();
+        // Wakes the listener, which is closed before the connections are.
+        let _ = TcpStream::connect(self.address);
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for stream in streams.into_iter().flatten() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut buf = Vec::new();
+        while let Some(message) = read(&mut stream, &mut buf) {
+            let Some(answer) = (self.handle)(&message) else {
+                return;
+            };
+            if stream.write_all(&encode(&answer)).is_err() {
+                return;
+            }
         }
-    });
-    Ok(())
+    }
 }
 
 /// Sends a request on a connection of its own; `None` without a complete answer.
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -31,6 +31,8 @@
     let violations = match case.as_str() {
         "silent-store" => silent_store(has_trouble, record),
         "forgotten-leaving" => forgotten_leaving(has_trouble, record),
+        "poison" => poison(has_trouble, true, record),
+        "poison-alone" => poison(has_trouble, false, record),
         "lost-machines" => lost_machines(has_trouble, record),
         _ => {
             println!("no such case: {case}");
@@ -73,7 +75,7 @@
     fleet.log.note(
         "backend i-sidecar-evesham-1: sends a heartbeat that is delayed on its way".to_owned(),
     );
-    let body = format!(r#"{{"born":{}}}"#, leaving.born);
+    let body = format!(r#"{{"born":{}}}"#, leaving.born());
     while !(200..300).contains(&leaving.say("deregister", &body)) {
         if fleet.log.now() > t + secs(5.0) {
             fleet::unusable(&fleet, "the deregistration is not acknowledged");
@@ -138,6 +140,103 @@
     found.len()
 }
 
+/// A request crashes each backend that runs it. Callers of another service send requests with the
+/// same path, which crash none, unless the case leaves them out.
+fn poison(has_trouble: bool, has_others: bool, record: &str) -> usize {
+    let fleet = Fleet::new(&[
+        ("evesham", "sidecar-evesham-1", "catalogue"),
+        ("evesham", "sidecar-evesham-2", "catalogue"),
+        ("evesham", "sidecar-evesham-3", "agreements"),
+        ("lichfield", "sidecar-lichfield-1", "catalogue"),
+        ("lichfield", "sidecar-lichfield-2", "bookings"),
+        ("melton", "sidecar-melton-1", "catalogue"),
+        ("melton", "sidecar-melton-2", "bookings"),
+        ("melton", "sidecar-melton-3", "agreements"),
+    ]);
+    let services = ["catalogue", "bookings", "agreements"];
+    let routes = [
+        ("/list/", "catalogue"),
+        ("/book/", "bookings"),
+        ("/view/", "agreements"),
+    ];
+    fleet.store.configure(&config(3, &routes, &services));
+    fleet.start(&["/list/x", "/book/x", "/view/x"]);
+    let t = fleet.log.now();
+    let end = t + secs(30.0);
+    for machine in &fleet.machines {
+        fleet.start_clients(machine, &["/list/x"], CLIENT_GAP, end);
+        if machine.service == "agreements" && has_others {
+            fleet.start_clients(machine, &[fleet::POISON], secs(0.2), end);
+        }
+    }
+    fleet.sleep_until(t + secs(3.0));
+    if has_trouble {
+        fleet.log.note(
+            "trouble: clients on the machines of bookings send the request that crashes backends"
+                .to_owned(),
+        );
+        for machine in fleet
+            .machines
+            .iter()
+            .filter(|m| m.service == fleet::POISON_CALLER)
+        {
+            fleet.start_clients(machine, &[fleet::POISON], secs(1.0), end);
+        }
+    }
+    fleet.sleep_until(end + secs(1.5));
+    let sent = fleet.log.sent.lock().unwrap().clone();
+    let runs = fleet.log.runs.lock().unwrap().clone();
+    let is_poison = |s: &&fleet::Sent| {
+        s.path == fleet::POISON
+            && fleet
+                .machines
+                .iter()
+                .any(|m| m.name == s.machine && m.service == fleet::POISON_CALLER)
+    };
+    // Each run of the request crashes its backend.
+    let mut crashes: Vec<(Duration, String)> = Vec::new();
+    for request in sent.iter().filter(is_poison) {
+        let of = runs.iter().filter(|run| run.attempt == request.attempt);
+        crashes.extend(of.map(|run| {
+            (
+                run.at,
+                format!(
+                    "{} at {} crashes {}",
+                    run.attempt, request.machine, run.backend
+                ),
+            )
+        }));
+    }
+    crashes.sort();
+    fleet.log.note(format!(
+        "the request has crashed {} backends",
+        crashes.len()
+    ));
+    let late: Vec<&(Duration, String)> = match crashes.get(2) {
+        Some((third, _)) => crashes
+            .iter()
+            .filter(|(at, _)| *at > *third + STABLE_WINDOW)
+            .collect(),
+        None => Vec::new(),
+    };
+    for (at, text) in late.iter().take(3).chain(late.last()) {
+        fleet.log.note(format!(
+            "BUDGET: {:.3} s after the third crash: {text}",
+            (*at - crashes[2].0).as_secs_f64()
+        ));
+    }
+    let others = sent
+        .iter()
+        .filter(|s| !is_poison(s) && (s.status == 0 || s.status >= 500))
+        .count();
+    fleet
+        .log
+        .note(format!("other requests without a success: {others}"));
+    fleet.log.note(format!("BUDGET: the request reached backends {} times later than stableWindowS after the third crash; 3 are allowed", late.len()));
+    fleet.write_record(record);
+    usize::from(late.len() > 3)
+}
+
 /// The connections to the store go silent; later the operator changes the configuration.
 fn silent_store(has_trouble: bool, record: &str) -> usize {
     let fleet = Fleet::new(&[
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -47,7 +47,7 @@
 impl Store {
     pub fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<()> {
         let store = self.clone();
-        http::serve(address, move |message| Some(store.handle(message)))
+        http::Server::new(address, move |message| Some(store.handle(message))).listen()
     }
 
     /// Writes what the operator writes; returns once it is stored.
