review: an acknowledged departure is lost when all daemons are killed while the store is down

With the store down, a departure is acknowledged once two other daemons hold it in memory. If all daemons are killed before the store is back, nothing is left of it, and a late heartbeat of the backend brings it requests again, more than drainS after the acknowledgement (DRAIN).

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -8,6 +8,7 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use fleet::{config, Fleet, Machine};
@@ -31,6 +32,7 @@
     let violations = match case.as_str() {
         "silent-store" => silent_store(has_trouble, record),
         "forgotten-leaving" => forgotten_leaving(has_trouble, record),
+        "lost-copies" => lost_copies(has_trouble, record),
         "poison" => poison(has_trouble, true, record),
         "poison-alone" => poison(has_trouble, false, record),
         "lost-machines" => lost_machines(has_trouble, record),
@@ -70,19 +72,11 @@
     }
     let leaving = fleet.machines[0].clone();
     fleet.sleep_until(t + secs(2.0));
-    leaving.is_quiet.store(true, Ordering::SeqCst);
     let delayed = leaving.next_heartbeat();
     fleet.log.note(
         "backend i-sidecar-evesham-1: sends a heartbeat that is delayed on its way".to_owned(),
     );
-    let body = format!(r#"{{"born":{}}}"#, leaving.born());
-    while !(200..300).contains(&leaving.say("deregister", &body)) {
-        if fleet.log.now() > t + secs(5.0) {
-            fleet::unusable(&fleet, "the deregistration is not acknowledged");
-        }
-    }
-    let acked = fleet.log.now();
-    fleet.log.note("backend i-sidecar-evesham-1: its deregistration is acknowledged; it serves on for some seconds".to_owned());
+    let acked = deregister(&fleet, &leaving);
     fleet.sleep_until(t + secs(3.0));
     if has_trouble {
         fleet.store.is_down.store(true, Ordering::SeqCst);
@@ -111,9 +105,99 @@
         fleet.log.note("trouble: the store is back".to_owned());
     }
     fleet.sleep_until(end + secs(1.5));
+    count_late_runs(&fleet, &leaving, acked, started, record)
+}
+
+/// A backend deregisters while the store is down, which its daemon acknowledges. Then all daemons are
+/// killed at the same moment and start again, and the store comes back. A heartbeat from before the
+/// deregistration arrives late.
+fn lost_copies(has_trouble: bool, record: &str) -> usize {
+    let fleet = Fleet::new(&[
+        ("evesham", "sidecar-evesham-1", "catalogue"),
+        ("evesham", "sidecar-evesham-2", "bookings"),
+        ("lichfield", "sidecar-lichfield-1", "catalogue"),
+        ("lichfield", "sidecar-lichfield-2", "bookings"),
+        ("melton", "sidecar-melton-1", "catalogue"),
+        ("melton", "sidecar-melton-2", "bookings"),
+    ]);
+    fleet.store.configure(&config(
+        3,
+        &[("/list/", "catalogue"), ("/book/", "bookings")],
+        &SERVICES,
+    ));
+    fleet.start(&["/list/x", "/book/x"]);
+    let t = fleet.log.now();
+    let end = t + secs(14.0);
+    for machine in &fleet.machines {
+        fleet.start_clients(machine, &["/list/x"], secs(0.05), end);
+    }
+    let leaving = fleet.machines[0].clone();
+    fleet.sleep_until(t + secs(1.0));
+    if has_trouble {
+        fleet.store.is_down.store(true, Ordering::SeqCst);
+        fleet
+            .log
+            .note("trouble: the store is down and answers 503".to_owned());
+    }
+    fleet.sleep_until(t + secs(2.0));
+    let delayed = leaving.next_heartbeat();
+    let acked = deregister(&fleet, &leaving);
+    fleet.sleep_until(t + secs(3.0));
+    if has_trouble {
+        for machine in &fleet.machines {
+            machine.kill();
+        }
+        fleet.log.note("trouble: all daemons are killed".to_owned());
+        thread::sleep(secs(0.3));
+        for machine in &fleet.machines {
+            fleet.start_daemon(machine);
+        }
+    }
+    let started = fleet.log.now();
+    fleet.sleep_until(t + secs(4.5));
+    if has_trouble {
+        fleet.store.is_down.store(false, Ordering::SeqCst);
+        fleet.log.note("trouble: the store is back".to_owned());
+    }
+    fleet.sleep_until(t + secs(7.0));
+    let status = leaving.say("heartbeat", &delayed);
+    fleet.log.note(format!(
+        "backend i-sidecar-evesham-1: its delayed heartbeat arrives, answered {status}"
+    ));
+    fleet.sleep_until(end + secs(1.5));
+    count_late_runs(&fleet, &leaving, acked, started, record)
+}
+
+/// The backend of a machine deregisters and sends no further heartbeats; returns when that was
+/// acknowledged.
+fn deregister(fleet: &Fleet, leaving: &Machine) -> Duration {
+    leaving.is_quiet.store(true, Ordering::SeqCst);
+    let until = fleet.log.now() + secs(3.0);
+    let body = format!(r#"{{"born":{}}}"#, leaving.born());
+    while !(200..300).contains(&leaving.say("deregister", &body)) {
+        if fleet.log.now() > until {
+            fleet::unusable(fleet, "the deregistration is not acknowledged");
+        }
+    }
+    let backend = leaving.backend();
+    fleet.log.note(format!(
+        "backend {backend}: its deregistration is acknowledged; it serves on for some seconds"
+    ));
+    fleet.log.now()
+}
+
+/// Counts the requests that were sent later than `drainS` after the acknowledgement, while the daemon
+/// beside the backend was in touch, and that have reached the backend.
+fn count_late_runs(
+    fleet: &Fleet,
+    leaving: &Machine,
+    acked: Duration,
+    started: Duration,
+    record: &str,
+) -> usize {
     fleet
         .log
-        .note("backend i-sidecar-evesham-1: ends".to_owned());
+        .note(format!("backend {}: ends", leaving.backend()));
     let sent = fleet.log.sent.lock().unwrap().clone();
     let runs = fleet.log.runs.lock().unwrap().clone();
     let in_touch = started + STABLE_WINDOW;
