--- a/review/harness/attempts.rs
+++ b/review/harness/attempts.rs
@@ -53,7 +53,10 @@
     thread::sleep(Duration::from_secs(2));
     let mut backends: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
     for run in fleet.runs.lock().unwrap().iter() {
-        backends.entry(run.id.clone()).or_default().insert(run.backend.clone());
+        backends
+            .entry(run.id.clone())
+            .or_default()
+            .insert(run.backend.clone());
     }
     let answered = statuses.iter().filter(|status| **status == 200).count();
     let over = backends.values().filter(|b| b.len() > MAX_ATTEMPTS).count();
--- a/review/harness/backend.rs
+++ b/review/harness/backend.rs
@@ -52,7 +52,9 @@
 }
 
 fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(0)
 }
 
@@ -119,7 +121,10 @@
         let own_id = self.incarnation.lock().unwrap().id.clone();
         let load = format!("{},0,{SLOTS},100", self.running.load(Ordering::SeqCst));
         if request.target() == "/health" {
-            let headers = [("Instance-Id", own_id.as_str()), ("Server-Load", load.as_str())];
+            let headers = [
+                ("Instance-Id", own_id.as_str()),
+                ("Server-Load", load.as_str()),
+            ];
             return Some(http::response(200, &headers, b""));
         }
         let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
@@ -130,7 +135,10 @@
         if attempt.is_empty() {
             return refuse(400);
         }
-        if request.header("target-instance").is_some_and(|id| id != own_id) {
+        if request
+            .header("target-instance")
+            .is_some_and(|id| id != own_id)
+        {
             return refuse(421);
         }
         if self.running.fetch_add(1, Ordering::SeqCst) >= SLOTS {
@@ -142,13 +150,17 @@
             backend: self.id.clone(),
             at: self.record.now(),
         };
-        self.record.line(&format!("run {} at {}", run.id, run.backend));
+        self.record
+            .line(&format!("run {} at {}", run.id, run.backend));
         self.runs.lock().unwrap().push(run);
         if self.crashes.is_some_and(|crashes| crashes(request)) {
             self.crash();
             return None;
         }
-        let work = request.target().rsplit_once("work=").and_then(|(_, ms)| ms.parse().ok());
+        let work = request
+            .target()
+            .rsplit_once("work=")
+            .and_then(|(_, ms)| ms.parse().ok());
         let deadline = request.header("deadline-ms").and_then(|ms| ms.parse().ok());
         let deadline = deadline.unwrap_or(u64::MAX);
         let work = work.unwrap_or(5);
--- a/review/harness/bodies.rs
+++ b/review/harness/bodies.rs
@@ -46,7 +46,11 @@
         }));
     }
     thread::sleep(Duration::from_secs(2));
-    for client in 0..if trouble { CLIENTS_BURST } else { CLIENTS_USUAL } {
+    for client in 0..if trouble {
+        CLIENTS_BURST
+    } else {
+        CLIENTS_USUAL
+    } {
         let record = record.clone();
         threads.push(thread::spawn(move || send_large(client, address, &record)));
     }
@@ -79,7 +83,9 @@
     }
     let runs = fleet.runs.lock().unwrap().clone();
     let unanswered = unanswered.lock().unwrap().clone();
-    let lost = unanswered.iter().filter(|id| runs.iter().any(|run| run.id == **id));
+    let lost = unanswered
+        .iter()
+        .filter(|id| runs.iter().any(|run| run.id == **id));
     let lost: Vec<_> = lost.cloned().collect();
     record.say(&format!(
         "peak {peak} MB of {MEMORY_MB}, killed {kills} times; passed on from a kept connection and closed without an answer: {} ({})",
@@ -111,7 +117,9 @@
             }
             number += 1;
             let id = format!("small{client}n{number}");
-            let request = format!("POST /log/work=300 HTTP/1.1\r\nHost: log.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 8000\r\nContent-Length: 2\r\n\r\nok");
+            let request = format!(
+                "POST /log/work=300 HTTP/1.1\r\nHost: log.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 8000\r\nContent-Length: 2\r\n\r\nok"
+            );
             record.line(&format!("sent {id}"));
             let response = http::exchange(&mut stream, request.as_bytes(), Duration::from_secs(9));
             let status = response.as_ref().map(http::Message::status);
@@ -122,7 +130,10 @@
                 }
                 break;
             };
-            if response.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+            if response
+                .header("connection")
+                .is_some_and(|v| v.eq_ignore_ascii_case("close"))
+            {
                 break;
             }
         }
@@ -135,7 +146,9 @@
     };
     let id = format!("large{client}");
     record.line(&format!("sent {id}"));
-    let head = format!("POST /log/work=300 HTTP/1.1\r\nHost: log.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 8000\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    let head = format!(
+        "POST /log/work=300 HTTP/1.1\r\nHost: log.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 8000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    );
     let chunk = vec![b'x'; CHUNK_BYTES];
     let mut written = stream.write_all(head.as_bytes());
     for _ in 0..BODY_BYTES / CHUNK_BYTES {
--- a/review/harness/crashes.rs
+++ b/review/harness/crashes.rs
@@ -30,11 +30,19 @@
     );
     record.line(&format!("sent {id}"));
     let response = http::call(outbound, request.as_bytes(), Duration::from_secs(2));
-    record.line(&format!("answered {id} {}", response.map_or(0, |response| response.status())));
+    record.line(&format!(
+        "answered {id} {}",
+        response.map_or(0, |response| response.status())
+    ));
 }
 
 pub fn run(trouble: bool, record: &Record) -> bool {
-    let services = [("view", "north"), ("view", "north"), ("view", "north"), ("other", "north")];
+    let services = [
+        ("view", "north"),
+        ("view", "north"),
+        ("view", "north"),
+        ("other", "north"),
+    ];
     let fleet = Fleet::start_with(&services, CONFIG, trouble.then_some(crashes), record);
     let (view, other) = (fleet.machines[0].outbound, fleet.machines[3].outbound);
     let is_done = Arc::new(AtomicBool::new(false));
@@ -59,7 +67,10 @@
     is_done.store(true, Ordering::SeqCst);
     let _ = sound.join();
     let runs = fleet.runs.lock().unwrap().clone();
-    let deadly: Vec<_> = runs.iter().filter(|run| run.id.starts_with("deadly")).collect();
+    let deadly: Vec<_> = runs
+        .iter()
+        .filter(|run| run.id.starts_with("deadly"))
+        .collect();
     let third = deadly.get(CRASHES - 1).map(|run| run.at);
     let is_late = |at: Duration| third.is_some_and(|third| at > third + STABLE_WINDOW);
     let late = deadly.iter().filter(|run| trouble && is_late(run.at));
--- a/review/harness/departures.rs
+++ b/review/harness/departures.rs
@@ -77,7 +77,10 @@
     );
     record.line(&format!("sent {id}"));
     let response = http::call(outbound, request.as_bytes(), Duration::from_secs(2));
-    record.line(&format!("answered {id} {}", response.map_or(0, |response| response.status())));
+    record.line(&format!(
+        "answered {id} {}",
+        response.map_or(0, |response| response.status())
+    ));
 }
 
 fn sleep_until(at: Duration, record: &Record) {
@@ -100,12 +103,20 @@
 fn deliver(delayed: &str, fleet: &Fleet, record: &Record) {
     let machine = &fleet.machines[LEAVING];
     let acked = machine.backend.post(machine.control, "heartbeat", delayed);
-    record.say(&format!("the delayed heartbeat arrives, acknowledged: {acked}"));
+    record.say(&format!(
+        "the delayed heartbeat arrives, acknowledged: {acked}"
+    ));
 }
 
 /// Whether requests have reached the backend that were sent later than `drainS` after the
 /// acknowledgement, and when its daemon had been in touch again since `in_touch`.
-fn check(clients: Clients, fleet: &Fleet, acked: Duration, in_touch: Duration, record: &Record) -> bool {
+fn check(
+    clients: Clients,
+    fleet: &Fleet,
+    acked: Duration,
+    in_touch: Duration,
+    record: &Record,
+) -> bool {
     let sent = clients.join();
     let runs = fleet.runs.lock().unwrap().clone();
     let left = &fleet.machines[LEAVING].backend.id;
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -101,12 +101,28 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("socket must bind");
         let store_address = listener.local_addr().expect("socket must have an address");
         proxy.serve(listener, behind);
-        store.put("config", "main", json::parse(config).expect("the configuration must be JSON"));
+        store.put(
+            "config",
+            "main",
+            json::parse(config).expect("the configuration must be JSON"),
+        );
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-        let mut fleet = Self { machines: Vec::new(), store, proxy, runs, folder };
+        let mut fleet = Self {
+            machines: Vec::new(),
+            store,
+            proxy,
+            runs,
+            folder,
+        };
         for (i, (service, zone)) in services.iter().enumerate() {
             let name = format!("sidecar-{zone}-{}", i + 1);
-            let backend = Backend::start(&format!("i-{}", i + 1), service, &fleet.runs, crashes, record);
+            let backend = Backend::start(
+                &format!("i-{}", i + 1),
+                service,
+                &fleet.runs,
+                crashes,
+                record,
+            );
             let machine = Machine {
                 outbound: free_address(),
                 control: free_address(),
@@ -151,7 +167,11 @@
         let until = Instant::now() + READY_TIMEOUT;
         for i in 0.. {
             let text = request(&format!("warm{i}"));
-            http::call(self.machines[0].outbound, text.as_bytes(), Duration::from_secs(2));
+            http::call(
+                self.machines[0].outbound,
+                text.as_bytes(),
+                Duration::from_secs(2),
+            );
             let runs = self.runs.lock().unwrap().clone();
             let has_run = |m: &Machine| runs.iter().any(|run| run.backend == m.backend.id);
             if self.machines.iter().all(has_run) {
@@ -185,7 +205,10 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let request = format!("GET /api/ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
+        let request = format!(
+            "GET /api/ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            self.ready
+        );
         let response = http::call(self.ready, request.as_bytes(), Duration::from_secs(1));
         response.is_some_and(|response| response.status() == 200)
     }
@@ -207,14 +230,23 @@
     /// Sends a signal to the daemon, such as `STOP`.
     pub fn signal(&self, name: &str) {
         let pid = self.pid().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        let _ = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
     }
 
     /// Memory of the daemon, MB.
     pub fn memory_mb(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
-        let kb: u64 = line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0);
+        let line = status
+            .lines()
+            .find(|line| line.starts_with("VmRSS:"))
+            .unwrap_or_default();
+        let kb: u64 = line
+            .split_whitespace()
+            .nth(1)
+            .and_then(|kb| kb.parse().ok())
+            .unwrap_or(0);
         kb / 1024
     }
 
@@ -237,7 +269,9 @@
 
     /// Whether the daemon has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 }
 
@@ -263,7 +297,9 @@
 pub fn cannot_run(reason: &str) -> ! {
     println!("could not run: {reason}");
     // Children of this process get the signal as well.
-    let _ = Command::new("pkill").args(["-KILL", "-P", &std::process::id().to_string()]).status();
+    let _ = Command::new("pkill")
+        .args(["-KILL", "-P", &std::process::id().to_string()])
+        .status();
     let _ = fs::remove_dir_all(folder());
     std::process::exit(2)
 }
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -31,12 +31,18 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.line
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target().split_once('?')?;
-        query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+        query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
     }
 }
 
@@ -62,10 +68,14 @@
     };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
-    let len = message.header("content-length").and_then(|v| v.parse::<usize>().ok());
+    let len = message
+        .header("content-length")
+        .and_then(|v| v.parse::<usize>().ok());
     let len = len.unwrap_or(0);
     while rest.len() < len {
         match stream.read(&mut buf) {
@@ -103,7 +113,9 @@
         F: Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static,
     {
         let server = Self::default();
-        listener.set_nonblocking(true).expect("the listener must be usable");
+        listener
+            .set_nonblocking(true)
+            .expect("the listener must be usable");
         *server.listener.lock().unwrap() = Some(listener);
         let (accepting, handle) = (server.clone(), Arc::new(handle));
         thread::spawn(move || {
--- a/review/harness/json.rs
+++ b/review/harness/json.rs
@@ -37,7 +37,12 @@
 }
 
 pub fn map(fields: &[(&str, Json)]) -> Json {
-    Json::Map(fields.iter().map(|(k, v)| ((*k).to_owned(), v.clone())).collect())
+    Json::Map(
+        fields
+            .iter()
+            .map(|(k, v)| ((*k).to_owned(), v.clone()))
+            .collect(),
+    )
 }
 
 pub fn num(n: u64) -> Json {
--- a/review/harness/proxy.rs
+++ b/review/harness/proxy.rs
@@ -18,7 +18,9 @@
         let proxy = self.clone();
         thread::spawn(move || {
             for inbound in listener.incoming().flatten() {
-                let Ok(outbound) = TcpStream::connect(to) else { continue };
+                let Ok(outbound) = TcpStream::connect(to) else {
+                    continue;
+                };
                 let _ = (inbound.set_nodelay(true), outbound.set_nodelay(true));
                 let born = proxy.generation.load(Ordering::SeqCst);
                 let (Ok(inbound2), Ok(outbound2)) = (inbound.try_clone(), outbound.try_clone())
--- a/review/harness/restarted.rs
+++ b/review/harness/restarted.rs
@@ -22,7 +22,9 @@
         ("catalogue", "lichfield"),
         ("bookings", "lichfield"),
     ];
-    let mut fleet = Fleet::start_on(&services, CONFIG, record, |store| store.set_bare_conflicts());
+    let mut fleet = Fleet::start_on(&services, CONFIG, record, |store| {
+        store.set_bare_conflicts()
+    });
     let before = serve(&fleet, "before", record);
     if trouble {
         for machine in &mut fleet.machines {
@@ -38,7 +40,11 @@
     let back = Instant::now();
     thread::sleep(RECOVERY + Duration::from_millis(500) - back.elapsed());
     for machine in &fleet.machines {
-        record.line(&format!("{} is ready: {}", machine.name, machine.is_ready()));
+        record.line(&format!(
+            "{} is ready: {}",
+            machine.name,
+            machine.is_ready()
+        ));
     }
     let after = serve(&fleet, "after", record);
     record.say(&format!(
@@ -54,7 +60,9 @@
     for number in 0..REQUESTS {
         let machine = &fleet.machines[1 + number % 2 * 2];
         let id = format!("{name}{number}");
-        let request = format!("GET /avail/work=20 HTTP/1.1\r\nHost: avail.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1200\r\nConnection: close\r\n\r\n");
+        let request = format!(
+            "GET /avail/work=20 HTTP/1.1\r\nHost: avail.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1200\r\nConnection: close\r\n\r\n"
+        );
         record.line(&format!("sent {id} to {}", machine.name));
         let response = http::call(machine.outbound, request.as_bytes(), Duration::from_secs(2));
         let status = response.map(|response| response.status());
--- a/review/harness/silence.rs
+++ b/review/harness/silence.rs
@@ -32,11 +32,19 @@
 fn send(outbound: SocketAddr, id: &str, record: &Record) {
     record.line(&format!("sent {id} to {outbound}"));
     let response = http::call(outbound, request(id).as_bytes(), Duration::from_secs(2));
-    record.line(&format!("answered {id} {}", response.map_or(0, |response| response.status())));
+    record.line(&format!(
+        "answered {id} {}",
+        response.map_or(0, |response| response.status())
+    ));
 }
 
 pub fn run(trouble: bool, record: &Record) -> bool {
-    let services = [("view", "north"), ("view", "north"), ("other", "north"), ("other", "north")];
+    let services = [
+        ("view", "north"),
+        ("view", "north"),
+        ("other", "north"),
+        ("other", "north"),
+    ];
     let fleet = Fleet::start(&services, &config("r7", OLD), record);
     let outbounds: Vec<SocketAddr> = fleet.machines.iter().map(|m| m.outbound).collect();
     for (i, outbound) in outbounds.iter().enumerate() {
@@ -47,7 +55,11 @@
         fleet.proxy.silence();
     }
     thread::sleep(SETTLE);
-    fleet.store.put("config", "main", json::parse(&config("r9", "other")).expect("JSON"));
+    fleet.store.put(
+        "config",
+        "main",
+        json::parse(&config("r9", "other")).expect("JSON"),
+    );
     record.line("r9 acknowledged: the route goes to the service `other`");
     thread::sleep(CONFIG_APPLY + Duration::from_millis(10));
     let until = record.now() + JUDGED;
@@ -65,9 +77,17 @@
         let _ = client.join();
     }
     let runs = fleet.runs.lock().unwrap().clone();
-    let service = |id: &str| fleet.machines.iter().find(|m| m.backend.id == id).map(|m| &m.backend.service);
+    let service = |id: &str| {
+        fleet
+            .machines
+            .iter()
+            .find(|m| m.backend.id == id)
+            .map(|m| &m.backend.service)
+    };
     let stale = runs.iter().filter(|run| run.id.starts_with("after"));
-    let stale = stale.filter(|run| service(&run.backend).is_some_and(|s| s == OLD)).count();
+    let stale = stale
+        .filter(|run| service(&run.backend).is_some_and(|s| s == OLD))
+        .count();
     record.say(&format!(
         "{n} requests sent later than {} s after r9 was acknowledged; {stale} were run by the old service",
         CONFIG_APPLY.as_secs()
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -50,7 +50,9 @@
     pub fn specs(&self, kind: &str) -> Vec<String> {
         let state = self.0.0.lock().unwrap();
         let objects = state.objects.iter().filter(|((k, _), _)| k == kind);
-        objects.map(|(_, o)| o.get("spec").text().unwrap_or_default().to_owned()).collect()
+        objects
+            .map(|(_, o)| o.get("spec").text().unwrap_or_default().to_owned())
+            .collect()
     }
 
     fn handle(&self, request: &Message) -> Vec<u8> {
@@ -97,13 +99,19 @@
 
     fn write(&self, kind: &str, name: &str, body: &Json, creates: bool) -> Vec<u8> {
         let mut state = self.0.0.lock().unwrap();
-        let held = state.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let held = state
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned();
         let expected = body.get("metadata").get("revision").number();
         match &held {
             Some(object) => {
                 let is_current = object.get("metadata").get("revision").number() == expected;
                 if creates && state.bare_conflicts {
-                    return reply(409, &json::map(&[("error", Json::Str("exists".to_owned()))]));
+                    return reply(
+                        409,
+                        &json::map(&[("error", Json::Str("exists".to_owned()))]),
+                    );
                 }
                 if creates || expected.is_some() && !is_current {
                     return reply(409, object);
@@ -121,7 +129,12 @@
     }
 
     fn watch(&self, kind: &str, request: &Message) -> Vec<u8> {
-        let number = |name| request.query(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|v| v.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let after = number("watch");
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
         let mut state = self.0.0.lock().unwrap();
@@ -129,9 +142,14 @@
             if state.down {
                 return reply(503, &Json::Null);
             }
-            let changes = state.history.iter().filter(|(at, k, _)| *at > after && k == kind);
+            let changes = state
+                .history
+                .iter()
+                .filter(|(at, k, _)| *at > after && k == kind);
             let events: Vec<Json> = changes
-                .map(|(_, _, o)| json::map(&[("object", o.clone()), ("deleted", Json::Bool(false))]))
+                .map(|(_, _, o)| {
+                    json::map(&[("object", o.clone()), ("deleted", Json::Bool(false))])
+                })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -160,9 +178,15 @@
         ("finalizers", Json::List(Vec::new())),
         ("deleting", Json::Bool(false)),
     ]);
-    let object = json::map(&[("metadata", metadata), ("spec", spec), ("status", Json::Null)]);
+    let object = json::map(&[
+        ("metadata", metadata),
+        ("spec", spec),
+        ("status", Json::Null),
+    ]);
     state.objects.insert(key, object.clone());
-    state.history.push((state.revision, kind.to_owned(), object.clone()));
+    state
+        .history
+        .push((state.revision, kind.to_owned(), object.clone()));
     object
 }
 
--- a/review/harness/zone_loss.rs
+++ b/review/harness/zone_loss.rs
@@ -17,7 +17,11 @@
 /// Time for which requests are sent after the change.
 const LENGTH: Duration = Duration::from_secs(45);
 /// Machines of the zone that are lost.
-const LOST: [&str; 3] = ["sidecar-evesham-2", "sidecar-evesham-4", "sidecar-evesham-5"];
+const LOST: [&str; 3] = [
+    "sidecar-evesham-2",
+    "sidecar-evesham-4",
+    "sidecar-evesham-5",
+];
 
 fn config(version: u32, service: &str) -> String {
     format!(
@@ -26,7 +30,9 @@
 }
 
 fn request(host: &str, id: &str) -> String {
-    format!("GET /{host}/work=20 HTTP/1.1\r\nHost: {host}.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1200\r\nConnection: close\r\n\r\n")
+    format!(
+        "GET /{host}/work=20 HTTP/1.1\r\nHost: {host}.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1200\r\nConnection: close\r\n\r\n"
+    )
 }
 
 pub fn run(trouble: bool, record: &Record) -> bool {
@@ -48,9 +54,14 @@
         }
     }
     for machine in &fleet.machines {
-        let request = format!("GET /status HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", machine.ready);
+        let request = format!(
+            "GET /status HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            machine.ready
+        );
         let status = http::call(machine.ready, request.as_bytes(), Duration::from_secs(1));
-        let text = status.map(|s| String::from_utf8_lossy(&s.body).into_owned()).unwrap_or_default();
+        let text = status
+            .map(|s| String::from_utf8_lossy(&s.body).into_owned())
+            .unwrap_or_default();
         let watches = text.contains(r#""watches_platform":true"#);
         record.line(&format!("{} watches the store: {watches}", machine.name));
     }
@@ -63,7 +74,11 @@
         }
     }
     thread::sleep(CALM);
-    fleet.store.put("config", "main", json::parse(&config(2, "bookings")).expect("valid JSON"));
+    fleet.store.put(
+        "config",
+        "main",
+        json::parse(&config(2, "bookings")).expect("valid JSON"),
+    );
     let acked = Instant::now();
     record.say("version r2 is acknowledged: the route goes to bookings");
     // Ids of the requests that were sent later than the bound, and when.
@@ -79,7 +94,11 @@
             let id = format!("req{number}");
             let after = acked.elapsed();
             record.line(&format!("sent {id} to {}", machine.name));
-            let response = http::call(machine.outbound, request("avail", &id).as_bytes(), Duration::from_secs(2));
+            let response = http::call(
+                machine.outbound,
+                request("avail", &id).as_bytes(),
+                Duration::from_secs(2),
+            );
             let status = response.map(|response| response.status());
             record.line(&format!("answer to {id}: {status:?}"));
             if after > CONFIG_APPLY {
@@ -98,7 +117,10 @@
         .filter(|run| is_catalogue(&run.backend))
         .map(|run| run.id.as_str())
         .collect();
-    let broken: Vec<_> = late.iter().filter(|(id, ..)| old.contains(id.as_str())).collect();
+    let broken: Vec<_> = late
+        .iter()
+        .filter(|(id, ..)| old.contains(id.as_str()))
+        .collect();
     let until = broken.last().map_or(0.0, |(_, _, after)| *after);
     record.say(&format!(
         "{} of {} requests that were sent later than 2 s after r2 were run by catalogue, as only r1 allows; the last {until:.1} s after r2",
