Apply stored departures of this host whichever incarnation registered them

Cause: a daemon that cannot register opens its gate on what a peer sends it. That includes the member object of its own host, but the departures in it were applied only if the object named the running incarnation. Ruled out: that the peer lacks the departure, that the gate opens before the objects are applied, that the heartbeat passes for another incarnation.

Fix: departures in a member object of the own host are applied and registered again, whoever registered them. A peer counts for the startup synchronization only once this host's own object is known. The status says whether departures are known.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -292,6 +292,12 @@
         !self.departures_loaded || awaits_target
     }
 
+    /// Whether the departures before this daemon's start are known; until then no call starts.
+    #[must_use]
+    pub fn knows_departures(&self) -> bool {
+        self.departures_loaded
+    }
+
     /// Digest of the request with this id.
     #[must_use]
     pub fn fingerprint(&self, id: id::CallId) -> Option<id::Fingerprint> {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -252,14 +252,16 @@
             is_complete: gossip.is_complete,
         };
         let is_equal = message.digest == Some(self.membership.replica().digest());
-        if message.is_complete || is_equal {
-            self.startup_sync.on_peer_synced();
-        }
+        let is_peer_synced = message.is_complete || is_equal;
         let mut effects = self.step(membership::Input::Received(
             gossip.host,
             message,
             rand::random(),
         ));
+        // A peer that does not know this host cannot know of its departures either.
+        if is_peer_synced && self.members.contains_key(&self.own.host) {
+            self.startup_sync.on_peer_synced();
+        }
         self.check_startup_sync(&mut effects);
         effects
     }
@@ -354,11 +356,14 @@
     fn apply_member(&mut self, member: Member, version: id::Version, effects: &mut Vec<Effect>) {
         self.apply_stored_crashes(&member);
         self.keep_lost_departures(&member, version, effects);
-        let is_own_incarnation =
-            member.host == self.own.host && member.incarnation == self.own.incarnation;
+        let is_own_host = member.host == self.own.host;
+        if is_own_host {
+            self.apply_stored_departures(&member, effects);
+        }
+        let is_own_incarnation = is_own_host && member.incarnation == self.own.incarnation;
         if is_own_incarnation {
             self.documents.on_registered(version);
-            self.on_own_member_stored(&member, effects);
+            self.on_registered(effects);
             let is_current = member.state == self.own.state && member.service == self.own.service;
             let is_restored = self
                 .registered_at
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -1,6 +1,6 @@
 //! Departures of targets on this host, stored so that they survive a restart of the daemon.
 
-use log::warn;
+use log::{info, warn};
 use pollenrouter_core::gate::target::{self, TargetIncarnation};
 use pollenrouter_core::{id, membership, replica, startup_sync};
 use pollenrouter_daemon::message::Command;
@@ -114,16 +114,29 @@
         }
     }
 
-    /// Applies this daemon's own member object, which the platform has stored.
-    pub(super) fn on_own_member_stored(&mut self, member: &Member, effects: &mut Vec<Effect>) {
+    /// Applies the departures in a stored member object of this host. They hold whichever
+    /// incarnation of this daemon registered them, and whoever sent the object.
+    pub(super) fn apply_stored_departures(&mut self, member: &Member, effects: &mut Vec<Effect>) {
         for incarnation in &member.departed {
-            target::record_departure(
+            let is_news = target::record_departure(
                 &mut self.own.departed,
                 incarnation.clone(),
                 object::DEPARTED_MAX,
             );
+            if is_news {
+                info!(
+                    target:% = incarnation.name,
+                    born = incarnation.started_ms,
+                    registered_by = member.incarnation;
+                    "stored departure applied"
+                );
+            }
             effects.push(Effect::ConfirmDeparture(incarnation.clone()));
         }
+    }
+
+    /// Records that the platform stored the registration of this incarnation.
+    pub(super) fn on_registered(&mut self, effects: &mut Vec<Effect>) {
         self.startup_sync.on_registered();
         self.check_startup_sync(effects);
     }
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -24,6 +24,7 @@
         "own": json!({
             "incarnation": format!("{:x}", calls.gate().incarnation()),
             "load": gate_load(&calls.gate().hint(calls.now())),
+            "departures_known": calls.gate().knows_departures(),
             "remembered_calls": calls.gate().record_count(),
             "watches_platform": fleet.is_watcher(),
             "stopping": stopping,
