Recognize a request that crashes targets by its caller, too

Cause: both services send the same method, path and body, which was all that a request was recognized by. Each run to the end for the sound caller cleared the other one. Ruled out: that crashes are missed, that the clearance is late.

Fix: a fingerprint has a part for the request and one for the caller. Crashes add up over callers, runs to the end clear their own caller, and a crash counts against the caller with the most. A key with the caller alone would let a request from many services crash three targets for each; the third case guards against that.

--- a/crates/core/src/entry/intake.rs
+++ b/crates/core/src/entry/intake.rs
@@ -5,6 +5,7 @@
 use super::{Entry, Output, Pending, Request, Token, placement};
 use crate::bucket;
 use crate::call::Refusal;
+use crate::fingerprint;
 
 impl Entry {
     pub(super) fn call(&mut self, now: Duration, request: Request, out: &mut Vec<Output>) {
@@ -36,7 +37,9 @@
         }
         let differs = |token: &Token| {
             let other = self.pending.get(token);
-            other.is_some_and(|p| p.request.fingerprint != request.fingerprint)
+            other.is_some_and(|other| {
+                !fingerprint::is_same_request(other.request.fingerprint, request.fingerprint)
+            })
         };
         let is_conflicting = self.tokens(ticket.id).iter().any(differs);
         is_conflicting.then_some(Refusal::WrongRequest)
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{self, Refusal, Reply, UnknownReason};
+use crate::fingerprint;
 use crate::hint;
 use crate::id;
 use crate::queue;
@@ -406,8 +407,10 @@
     Output::Reply(id, Reply::NotRun(refusal))
 }
 
-fn is_mismatch(recorded: Option<u64>, received: u64) -> bool {
-    recorded.is_some_and(|recorded| recorded != received)
+/// Whether an id was recorded for another request. Who calls does not matter: the same caller may
+/// come through a daemon that does not know its service.
+fn is_mismatch(recorded: Option<id::Fingerprint>, received: id::Fingerprint) -> bool {
+    recorded.is_some_and(|recorded| !fingerprint::is_same_request(recorded, received))
 }
 
 fn saturating_u32(n: usize) -> u32 {
--- a/crates/core/src/gate/quarantine.rs
+++ b/crates/core/src/gate/quarantine.rs
@@ -4,7 +4,7 @@
 
 use super::{Gate, Output};
 use crate::call::Refusal;
-use crate::id;
+use crate::{fingerprint, id};
 
 /// The quarantined requests, and whether they may be tried.
 pub type Trials = BTreeMap<id::Fingerprint, Trial>;
@@ -24,7 +24,7 @@
         let waiting: Vec<id::CallId> = self.waiting.iter().map(|w| w.id).collect();
         for id in waiting {
             let fingerprint = self.fingerprint(id);
-            if fingerprint.is_some_and(|f| self.quarantined.contains_key(&f)) {
+            if fingerprint.is_some_and(|f| fingerprint::get(&self.quarantined, f).is_some()) {
                 self.remove_waiting(id);
                 self.refuse(id, Refusal::CrashesTargets, None, out);
             }
@@ -33,13 +33,14 @@
 
     /// Whether a request must not be sent to the target at present.
     pub(super) fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
-        match self.quarantined.get(&fingerprint) {
+        match fingerprint::get(&self.quarantined, fingerprint) {
             None => false,
-            Some(Trial::Refused) => true,
-            Some(Trial::OneAtATime) => {
+            Some((_, Trial::Refused)) => true,
+            Some((key, Trial::OneAtATime)) => {
                 let waiting = self.waiting.iter().map(|w| &w.id);
-                let mut at_work = waiting.chain(self.running.keys());
-                at_work.any(|id| self.fingerprint(*id) == Some(fingerprint))
+                let at_work = waiting.chain(self.running.keys());
+                let mut at_work = at_work.filter_map(|id| self.fingerprint(*id));
+                at_work.any(|other| fingerprint::matches(key, other))
             }
         }
     }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -19,7 +19,7 @@
 pub type TargetName = SmolStr;
 /// Random number that a daemon generates at each start.
 pub type Incarnation = u64;
-/// Digest of a request's host, method, path and body.
+/// Digest of a request's host, method, path and body, and of its caller.
 pub type Fingerprint = u64;
 /// Version of an object, assigned by the platform or by the object's writer; see
 /// [`crate::version`].
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gate::target::TargetIncarnation;
-use crate::id;
+use crate::{fingerprint, id};
 
 /// Number of crashes from which a request is quarantined. With fewer, the requests that happen to
 /// run beside a crash could not be told from its cause.
@@ -133,7 +133,7 @@
         fingerprint: id::Fingerprint,
         evidence: &Evidence,
     ) {
-        if evidence.suspects().contains(&fingerprint) {
+        if evidence.is_suspect(fingerprint) {
             self.clear_suspect(now, fingerprint);
         } else {
             self.recently_completed.push_back(fingerprint);
@@ -145,10 +145,13 @@
 
     /// Clears the suspects that have run to their end here before they became suspects.
     pub fn clear_completed(&mut self, now: Duration, evidence: &Evidence) {
-        for fingerprint in evidence.suspects() {
-            if self.recently_completed.contains(fingerprint) {
-                self.clear_suspect(now, *fingerprint);
-            }
+        if evidence.suspects.is_empty() {
+            return;
+        }
+        let completed = self.recently_completed.iter().copied();
+        let completed: BTreeSet<_> = completed.filter(|f| evidence.is_suspect(*f)).collect();
+        for fingerprint in completed {
+            self.clear_suspect(now, fingerprint);
         }
     }
 
@@ -210,6 +213,7 @@
     reports: BTreeMap<id::HostName, (Duration, Report)>,
     /// When each crash became known.
     crash_times: BTreeMap<(id::HostName, TargetIncarnation, u64), Duration>,
+    /// Requests that were running in several crashes, whoever called.
     suspects: BTreeSet<id::Fingerprint>,
     /// Requests that the evidence is against, and since when.
     convicted: BTreeMap<id::Fingerprint, Conviction>,
@@ -254,10 +258,11 @@
         }
     }
 
-    /// Requests that were running in several crashes, and of which no run to the end is known.
-    #[must_use]
-    pub fn suspects(&self) -> &BTreeSet<id::Fingerprint> {
-        &self.suspects
+    /// Whether the same request, of any caller, was running in several crashes. That it has run to
+    /// its end then matters to all daemons.
+    fn is_suspect(&self, fingerprint: id::Fingerprint) -> bool {
+        let request = fingerprint::of_any_caller(fingerprint);
+        self.suspects.contains(&request)
     }
 
     /// Requests that must be sent to no target but, one at a time, that of the host stated: if all
@@ -279,14 +284,25 @@
             let mut crashes = crashes.into_iter().flatten();
             crashes.any(|crash| (&crash.target, crash.number) == (target, *number))
         });
-        let crashes = self.crashes();
-        let counts = counts(&crashes).into_iter();
-        let suspects = counts.filter(|(_, count)| *count >= SUSPECT_CRASHES_MIN);
-        self.suspects = suspects.map(|(fingerprint, _)| fingerprint).collect();
-        let convicted = convicted(crashes);
-        let mut earlier = std::mem::take(&mut self.convicted);
-        for fingerprint in convicted {
-            let since = earlier.remove(&fingerprint).map_or(now, |c| c.since);
+        let completed: BTreeSet<id::Fingerprint> = {
+            let reports = self.reports.values();
+            let completed = reports.flat_map(|(_, report)| &report.completed);
+            completed.copied().collect()
+        };
+        let crashes = self.crashes(&completed);
+        self.suspects = counts(&by_request(&crashes))
+            .into_iter()
+            .filter(|(_, count)| *count >= SUSPECT_CRASHES_MIN)
+            .map(|(request, _)| request)
+            .collect();
+        let earlier = std::mem::take(&mut self.convicted);
+        for fingerprint in convicted(&crashes, &completed) {
+            // Who has seen the request of another caller complete has reported so by now.
+            let same = |(known, _): &(&id::Fingerprint, &Conviction)| {
+                fingerprint::is_same_request(**known, fingerprint)
+            };
+            let since = earlier.iter().filter(same).map(|(_, known)| known.since);
+            let since = since.min().unwrap_or(now);
             let trial_host = self.trial_host(fingerprint);
             self.convicted
                 .insert(fingerprint, Conviction { since, trial_host });
@@ -300,7 +316,10 @@
         let crashes = reports.flat_map(|(host, (_, report))| {
             let crashes = report.crashes.iter();
             crashes
-                .filter(|crash| crash.fingerprints.contains(&fingerprint))
+                .filter(|crash| {
+                    let mut running = crash.fingerprints.iter();
+                    running.any(|running| fingerprint::is_same_request(*running, fingerprint))
+                })
                 .map(|crash| (host.clone(), crash.target.clone(), crash.number))
         });
         let crashes: Vec<_> = crashes.collect();
@@ -315,11 +334,10 @@
             .map(|host| (*host).clone())
     }
 
-    /// The suspects of each crash.
-    fn crashes(&self) -> Vec<Vec<id::Fingerprint>> {
-        let reports = || self.reports.values().map(|(_, report)| report);
-        let completed: BTreeSet<_> = reports().flat_map(|report| &report.completed).collect();
-        let crashes = reports().flat_map(|report| &report.crashes);
+    /// The requests that were running in each crash and have not run to their end since.
+    fn crashes(&self, completed: &BTreeSet<id::Fingerprint>) -> Vec<Vec<id::Fingerprint>> {
+        let reports = self.reports.values().map(|(_, report)| report);
+        let crashes = reports.flat_map(|report| &report.crashes);
         let suspects = crashes.map(|crash| {
             let suspects = crash.fingerprints.iter();
             suspects
@@ -331,22 +349,78 @@
     }
 }
 
-/// Requests with at least [`CRASHES_MIN`] crashes. A crash is attributed to the request with the
-/// most crashes among those that were running, and does not count against the others.
-fn convicted(mut crashes: Vec<Vec<id::Fingerprint>>) -> BTreeSet<id::Fingerprint> {
+/// Requests with at least [`CRASHES_MIN`] crashes, and of these the callers under whom targets
+/// crashed. A request counts as the same for any caller if it has crashed targets for several and
+/// run to its end for none.
+fn convicted(
+    crashes: &[Vec<id::Fingerprint>],
+    completed: &BTreeSet<id::Fingerprint>,
+) -> BTreeSet<id::Fingerprint> {
     let mut convicted = BTreeSet::new();
+    for (request, attributed) in attribute(&by_request(crashes), CRASHES_MIN) {
+        let is_of_request = |f: &&id::Fingerprint| fingerprint::is_same_request(**f, request);
+        let of_request = attributed.iter().map(|index| {
+            let running = crashes[*index].iter();
+            running.filter(is_of_request).copied().collect()
+        });
+        let of_request: Vec<Vec<id::Fingerprint>> = of_request.collect();
+        let by_caller = attribute(&of_request, 1);
+        let independent: BTreeSet<&Vec<usize>> = by_caller.values().collect();
+        let has_completed = completed
+            .iter()
+            .any(|f| fingerprint::is_same_request(*f, request));
+        if independent.len() > 1 && !has_completed {
+            convicted.insert(request);
+        } else {
+            convicted.extend(by_caller.into_keys());
+        }
+    }
+    convicted
+}
+
+/// Attributes each crash to the keys with the most crashes among those that were running; it does
+/// not count against the others. Returns the keys to which at least `min` crashes, and the crashes.
+fn attribute(
+    crashes: &[Vec<id::Fingerprint>],
+    min: usize,
+) -> BTreeMap<id::Fingerprint, Vec<usize>> {
+    let mut attributed = BTreeMap::new();
+    let mut left: Vec<Vec<id::Fingerprint>> = crashes.to_vec();
     loop {
-        let mut counts = counts(&crashes);
+        let mut counts = counts(&left);
         let most = counts.values().copied().max().unwrap_or(0);
-        if most < CRASHES_MIN {
-            return convicted;
+        if most < min.max(1) {
+            return attributed;
         }
         counts.retain(|_, count| *count == most);
-        crashes.retain(|suspects| !suspects.iter().any(|f| counts.contains_key(f)));
-        convicted.extend(counts.into_keys());
+        for (index, running) in left.iter_mut().enumerate() {
+            let causes: Vec<id::Fingerprint> = running
+                .iter()
+                .filter(|f| counts.contains_key(f))
+                .copied()
+                .collect();
+            if !causes.is_empty() {
+                running.clear();
+            }
+            for cause in causes {
+                attributed.entry(cause).or_insert_with(Vec::new).push(index);
+            }
+        }
     }
 }
 
+/// The requests of each crash, whoever called.
+fn by_request(crashes: &[Vec<id::Fingerprint>]) -> Vec<Vec<id::Fingerprint>> {
+    let requests = crashes.iter().map(|running| {
+        let requests = running.iter().map(|f| fingerprint::of_any_caller(*f));
+        requests
+            .collect::<BTreeSet<id::Fingerprint>>()
+            .into_iter()
+            .collect()
+    });
+    requests.collect()
+}
+
 /// Number of crashes of each request.
 fn counts(crashes: &[Vec<id::Fingerprint>]) -> BTreeMap<id::Fingerprint, usize> {
     let mut counts = BTreeMap::new();
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -99,6 +99,11 @@
     trial_host: Option<&'static str>,
 }
 
+/// A request that two services send.
+const BY_BOARD: Fingerprint = 1 << 48 | POISON;
+const BY_SEATS: Fingerprint = 2 << 48 | POISON;
+const BY_LISTS: Fingerprint = 3 << 48 | POISON;
+
 const THREE_CRASHES: Case = Case {
     play: |fleet| {
         for host in 0..3 {
@@ -238,7 +243,73 @@
     trial_host: None,
 };
 
+const SOUND_FOR_ANOTHER_CALLER: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[BY_BOARD, BY_SEATS]);
+            fleet.complete(3, BY_SEATS);
+        }
+    },
+    quarantined: &[BY_BOARD],
+    trial_host: None,
+};
+const SOUND_BEFORE_THE_CRASHES: Case = Case {
+    play: |fleet| {
+        fleet.complete(3, BY_SEATS);
+        for host in 0..3 {
+            fleet.crash(host, &[BY_BOARD]);
+        }
+        fleet.crash(3, &[BY_LISTS]);
+    },
+    // Not for any caller, as it is sound for one.
+    quarantined: &[BY_BOARD, BY_LISTS],
+    trial_host: None,
+};
+const ONE_CRASH_FOR_EACH_CALLER: Case = Case {
+    play: |fleet| {
+        fleet.crash(0, &[BY_BOARD]);
+        fleet.crash(1, &[BY_SEATS]);
+        fleet.crash(2, &[BY_LISTS]);
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
+const FIRST_CRASH_FOR_ANOTHER_CALLER: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[BY_BOARD]);
+        }
+        fleet.crash(3, &[BY_SEATS]);
+    },
+    quarantined: &[POISON],
+    trial_host: None,
+};
+const NO_CRASH_FOR_ANOTHER_CALLER: Case = Case {
+    play: |fleet| {
+        for host in 0..3 {
+            fleet.crash(host, &[BY_BOARD]);
+        }
+    },
+    quarantined: &[BY_BOARD],
+    trial_host: None,
+};
+const BESIDE_ANOTHER_CALLER: Case = Case {
+    play: |fleet| {
+        fleet.crash(0, &[BY_BOARD, BY_SEATS]);
+        fleet.crash(1, &[BY_BOARD]);
+        fleet.crash(2, &[BY_BOARD]);
+    },
+    quarantined: &[BY_BOARD],
+    trial_host: None,
+};
+
 #[rstest]
+#[case::sound_for_another_caller(SOUND_FOR_ANOTHER_CALLER)]
+#[case::sound_before_the_crashes(SOUND_BEFORE_THE_CRASHES)]
+#[case::one_crash_for_each_caller(ONE_CRASH_FOR_EACH_CALLER)]
+#[case::first_crash_for_another_caller(FIRST_CRASH_FOR_ANOTHER_CALLER)]
+#[case::no_crash_for_another_caller(NO_CRASH_FOR_ANOTHER_CALLER)]
+#[case::beside_another_caller(BESIDE_ANOTHER_CALLER)]
 #[case::three_crashes(THREE_CRASHES)]
 #[case::two_crashes(TWO_CRASHES)]
 #[case::one_host(ONE_HOST)]
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -12,7 +12,7 @@
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
 use pollenrouter_core::gate::statement::Statement;
-use pollenrouter_core::{gate, http_message, id, pause, quarantine, service};
+use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine, service};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_target::message as target;
@@ -87,6 +87,7 @@
     channels: Channels,
     instruments: Instruments,
     request_id_header: &'static str,
+    caller_header: &'static str,
     quarantined: quarantine::Quarantined,
 }
 
@@ -100,6 +101,8 @@
     pub announcement_ttl: Duration,
     /// Header in which callers send the id of a request.
     pub request_id_header: &'static str,
+    /// Header that states which service calls, set by the listeners.
+    pub caller_header: &'static str,
     /// Whether targets report their load on request.
     pub targets_report_load: bool,
     /// Clock that deadlines go by.
@@ -153,6 +156,7 @@
             channels,
             instruments,
             request_id_header: config.request_id_header,
+            caller_header: config.caller_header,
             quarantined: quarantine::Quarantined::new(),
         }
     }
@@ -232,9 +236,8 @@
 
     /// Whether a request is refused without an offer to a gate.
     fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
-        self.quarantined
-            .get(&fingerprint)
-            .is_some_and(Option::is_none)
+        fingerprint::get(&self.quarantined, fingerprint)
+            .is_some_and(|(_, trial_host)| trial_host.is_none())
     }
 
     /// Sets the document of the target's service.
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -5,12 +5,11 @@
 use log::info;
 use pollenrouter_caller::message::{Call, CallerResult, CallerResultKind};
 use pollenrouter_core::call::{Refusal, UnknownReason};
-use pollenrouter_core::{entry, http_message, id};
+use pollenrouter_core::{entry, fingerprint, http_message, id};
 use pollenrouter_daemon::message::Request;
 use smol_str::SmolStr;
 
 use super::{Calls, Input, PendingCall, RoutedCall};
-use crate::routes;
 
 impl Calls {
     /// Refuses a call without offering it to a gate.
@@ -44,7 +43,7 @@
             retry_slack,
             sheddable,
         } = routed_call;
-        let fingerprint = routes::fingerprint(&call.head, &call.body);
+        let fingerprint = fingerprint::of(&call.head, &call.body, self.caller_header);
         // The gate that a ticket names may have the answer to an earlier attempt.
         if call.ticket.is_none() && self.is_quarantined(fingerprint) {
             self.log_quarantined(&call, fingerprint);
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -1,14 +1,10 @@
 //! Matches the requests of callers to routes of the active table.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
-
-use bytes::Bytes;
 use pollenrouter_caller::listener::{LookupResult, RouteMatch};
 use pollenrouter_caller::message::Call;
 use pollenrouter_caller::request;
 use pollenrouter_core::call::Refusal;
-use pollenrouter_core::{http_message, id, service, table};
+use pollenrouter_core::{id, service, table};
 
 use crate::fleet::ListenerState;
 
@@ -54,10 +50,3 @@
     }
     Ok(())
 }
-
-/// Digest by which daemons recognize a request that is sent again.
-pub fn fingerprint(head: &http_message::RequestHead, body: &Bytes) -> id::Fingerprint {
-    let mut hasher = DefaultHasher::new();
-    (&head.host, &head.method, &head.path, body).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -134,6 +134,7 @@
         failure_domain: settings.failure_domain.clone(),
         announcement_ttl: settings.announce_period * MISSED_ANNOUNCEMENTS_MAX,
         request_id_header: profile.convention.request_id_header,
+        caller_header: profile.convention.caller_header,
         targets_report_load: profile.convention.load_header.is_some(),
         clock: clock::boot_time,
     };
