Let a daemon that hears of no watcher watch the platform itself

Cause: only the predecessor of a watcher stepped in for it, after two missed rounds of a second. If it was lost as well, or the watchers lived and were out of reach or turned away by the platform, nobody noticed, as silence and no news look alike. Ruled out: that other domains read the change late, or that it is lost on its way.

Fix: watchers send heartbeats that say whether news reaches them. A daemon that hears none for 0.8 s takes over, within 0.4 s by its place on the ring; where watchers live and get no news, two more daemons of the domain try, later six; all do not, so a platform that is down is called by eight daemons of a domain at most.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,12 +1,11 @@
 //! Gossip of the platform's objects between daemons, and the duties of watchers.
 //!
-//! A few daemons of each failure domain, the watchers, watch the platform. Each daemon has
+//! A few daemons of each failure domain, the watchers, watch the platform; [`crate::watching`] says which. Each daemon has
 //! a few stable peers on the hash ring of its failure domain. It forwards updates to all of
 //! them immediately; a digest that it sends to one of them each round repairs lost
 //! messages. Only watchers communicate with other failure domains, and only with the
-//! watchers there. Each daemon checks its successor on the ring. If the successor is a
-//! watcher and cannot be reached, the daemon watches in its place; if it stays
-//! unreachable, the daemon reports it as gone.
+//! watchers there. Each daemon checks its successor on the ring, and reports it as gone if it
+//! stays unreachable.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,12 +13,10 @@
 use crate::id;
 use crate::replica::{Digest, Key, Object, Replica};
 use crate::ring;
-use crate::watching::Waits;
+use crate::watching::{Duty, WATCHERS_PER_DOMAIN, Waits};
 
 /// Interval between gossip rounds.
 pub const ROUND_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of daemons in each failure domain that watch the platform.
-pub const WATCHERS_PER_DOMAIN: usize = 2;
 /// Number of peers that receive updated objects in full; the others receive only their
 /// versions and request what they lack.
 const FANOUT: usize = 3;
@@ -27,9 +24,9 @@
 const SYNC_FANOUT: usize = 3;
 /// Rotation that derives a second random choice from the same random number.
 const DRAW_ROTATION: u32 = 16;
-/// Missed rounds after which a daemon watches in its successor's place; a single missed
-/// round may be due to a lost datagram.
-const TAKEOVER_AFTER: u32 = 2;
+/// Size up to which each daemon of a failure domain is a peer of all others. With fewer peers, the
+/// loss of a few daemons could cut another one off from updates until the next rounds.
+const SMALL_DOMAIN: usize = 8;
 /// Missed rounds after which a successor is reported as gone.
 const REPORT_AFTER: u32 = 30;
 
@@ -60,6 +57,24 @@
     pub is_complete: bool,
 }
 
+impl Message {
+    /// A heartbeat of a watcher. Daemons of earlier versions ignore it.
+    #[must_use]
+    pub fn heartbeat(gets_news: bool) -> Self {
+        Self {
+            versions: gets_news.then(BTreeMap::new),
+            ..Self::default()
+        }
+    }
+
+    /// Whether news of the platform reaches the sender, if this is a heartbeat.
+    #[must_use]
+    pub fn as_heartbeat(&self) -> Option<bool> {
+        let gets_news = self.versions.is_some();
+        (*self == Self::heartbeat(gets_news)).then_some(gets_news)
+    }
+}
+
 /// Input of the state machine.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Input {
@@ -75,6 +90,10 @@
     Round(u64),
     /// Request missing objects from other daemons.
     Sync,
+    /// [`crate::watching::BEAT_INTERVAL`] has passed; whether the own watch reaches the platform.
+    Beat(bool),
+    /// All objects under a watched prefix were read from the platform.
+    Listed,
 }
 
 /// Action for the embedder.
@@ -82,6 +101,8 @@
 pub enum Output {
     /// Send a message to a daemon.
     Send(id::HostName, Message),
+    /// Send a heartbeat to a daemon; whether it arrives does not matter.
+    SendHeartbeat(id::HostName, Message),
     /// Apply a newer version of an object.
     Changed(Object),
     /// Report a member as gone.
@@ -100,7 +121,9 @@
     /// Watchers of each other failure domain.
     remote_watchers: Vec<Vec<id::HostName>>,
     successor: Option<id::HostName>,
-    /// How long this daemon's watches wait if it watches the platform.
+    /// Whether this daemon watches the platform.
+    duty: Duty,
+    /// How long its watches wait.
     watch_waits: Waits,
 }
 
@@ -116,7 +139,8 @@
             peers: Vec::new(),
             remote_watchers: Vec::new(),
             successor: None,
-            watch_waits: Waits::new(0, 1),
+            duty: Duty::default(),
+            watch_waits: Waits::ALONE,
         }
     }
 
@@ -130,6 +154,19 @@
             Input::Members(members) => self.set_members(members),
             Input::Round(draw) => self.round(draw, &mut out),
             Input::Sync => self.sync(&mut out),
+            Input::Beat(is_connected) => {
+                self.duty.count_beat(is_connected);
+                if self.duty.is_heartbeat_due() {
+                    self.send_heartbeats(&mut out);
+                }
+            }
+            Input::Listed => {
+                // The others should not take over as well.
+                if self.duty.has_taken_over() {
+                    self.duty.count_listing();
+                    self.send_heartbeats(&mut out);
+                }
+            }
         }
         out
     }
@@ -143,30 +180,52 @@
     /// Whether this daemon should watch the platform.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
-        self.is_assigned_watcher(&self.own.host) || self.takes_over()
+        self.duty.is_watching()
+    }
+
+    /// Whether this daemon watches the platform because it hears of no watcher that does.
+    #[must_use]
+    pub fn has_taken_over(&self) -> bool {
+        self.duty.has_taken_over()
     }
 
     /// How long this daemon's watches wait, if it should watch the platform.
     #[must_use]
     pub fn watch_waits(&self) -> Option<Waits> {
-        self.is_watcher().then_some(self.watch_waits)
+        let waits = if self.duty.has_taken_over() {
+            Waits::ALONE
+        } else {
+            self.watch_waits
+        };
+        self.is_watcher().then_some(waits)
     }
 
-    fn is_assigned_watcher(&self, host: &id::HostName) -> bool {
-        ring::is_among_first(host, self.domain_hosts(), WATCHERS_PER_DOMAIN)
+    fn send_heartbeats(&self, out: &mut Vec<Output>) {
+        let own_domain = self.domain_hosts().filter(|host| **host != self.own.host);
+        let message = Message::heartbeat(self.duty.gets_news());
+        out.extend(own_domain.map(|host| Output::SendHeartbeat(host.clone(), message.clone())));
+        // Traffic between failure domains is billed: others are asked only if need be.
+        if !self.duty.is_connected() {
+            let message = Message::heartbeat(false);
+            let remote = self.remote_watchers.iter().flatten();
+            out.extend(remote.map(|host| Output::SendHeartbeat(host.clone(), message.clone())));
+        }
     }
 
-    /// Whether the successor is an assigned watcher and cannot be reached.
-    fn takes_over(&self) -> bool {
-        let Some(successor) = &self.successor else {
-            return false;
+    fn record_heartbeat(&mut self, host: id::HostName, gets_news: bool, out: &mut Vec<Output>) {
+        let Some(member) = self.members.get(&host) else {
+            return;
         };
-        let missed = self
-            .missed_rounds
-            .get(successor)
-            .copied()
-            .unwrap_or_default();
-        missed >= TAKEOVER_AFTER && self.is_assigned_watcher(successor)
+        if member.failure_domain != self.own.failure_domain {
+            // Only what is seen here is told, or news that nobody gets could go round.
+            if !gets_news && self.duty.is_connected() {
+                let message = Message::heartbeat(true);
+                out.push(Output::SendHeartbeat(host.clone(), message));
+            }
+            self.duty.record_remote_heartbeat(host, gets_news);
+        } else if self.duty.record_heartbeat(host.clone(), gets_news) {
+            out.push(Output::Send(host, self.digest_message()));
+        }
     }
 
     fn domain_hosts(&self) -> impl Iterator<Item = &id::HostName> {
@@ -195,10 +254,16 @@
             ..Message::default()
         };
         // All peers are notified: if some were left out, one daemon in twenty would not
-        // get the update before the next round.
-        let n = u64::try_from(self.peers.len()).unwrap_or(u64::MAX).max(1);
+        // get the update before the next round. If watchers are lost, peers may be, too.
+        let peers = if self.has_taken_over() {
+            let others = self.domain_hosts().filter(|host| **host != self.own.host);
+            others.cloned().collect()
+        } else {
+            self.peers.clone()
+        };
+        let n = u64::try_from(peers.len()).unwrap_or(u64::MAX).max(1);
         let start = usize::try_from(draw % n).unwrap_or(0);
-        let (before, after) = self.peers.split_at(start);
+        let (before, after) = peers.split_at(start);
         for (index, host) in after.iter().chain(before).enumerate() {
             let message = if index < FANOUT { &message } else { &notice };
             out.push(Output::Send(host.clone(), message.clone()));
@@ -206,10 +271,17 @@
         // Other failure domains receive only versions and request what they lack: their own
         // watchers have read most of it.
         let remote = self.remote_watchers.iter().filter(|_| self.is_watcher());
-        let remote = remote.filter_map(|watchers| pick(watchers, draw));
+        let remote = remote.filter_map(|watchers| self.pick_watcher(watchers, draw));
         out.extend(remote.map(|host| Output::Send(host, notice.clone())));
     }
 
+    /// One watcher of another failure domain; one that has asked for news, if there is any.
+    fn pick_watcher(&self, watchers: &[id::HostName], draw: u64) -> Option<id::HostName> {
+        let asking = watchers.iter().filter(|host| self.duty.hears_remote(host));
+        let asking: Vec<id::HostName> = asking.cloned().collect();
+        pick(&asking, draw).or_else(|| pick(watchers, draw))
+    }
+
     /// Handles versions announced by a daemon; requests the objects that are newer there.
     fn versions_announced(
         &self,
@@ -244,6 +316,10 @@
 
     fn received(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
         self.missed_rounds.remove(&host);
+        if let Some(gets_news) = message.as_heartbeat() {
+            self.record_heartbeat(host, gets_news, out);
+            return;
+        }
         self.merge(message.objects, draw, out);
         if let (None, Some(announced)) = (message.digest, &message.versions) {
             self.versions_announced(host, announced, out);
@@ -294,8 +370,14 @@
         let known = &self.members;
         self.missed_rounds
             .retain(|host, _| known.contains_key(host));
-        self.peers = ring::peers_at_doubling_distances(&self.own.host, self.domain_hosts());
+        let domain = ring::first(self.domain_hosts(), self.members.len());
+        self.peers = if domain.len() <= SMALL_DOMAIN {
+            ring::successors(&self.own.host, &domain)
+        } else {
+            ring::peers_at_doubling_distances(&self.own.host, domain.iter())
+        };
         self.successor = self.peers.first().cloned();
+        self.duty.set_domain(&self.own.host, domain);
         let mut domains: BTreeMap<&id::DomainName, Vec<&id::HostName>> = BTreeMap::new();
         for member in self.members.values() {
             let hosts = domains.entry(&member.failure_domain).or_default();
@@ -311,11 +393,15 @@
         self.remote_watchers = watchers.into_values().collect();
     }
 
-    fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
-        let message = Message {
+    fn digest_message(&self) -> Message {
+        Message {
             digest: Some(self.replica.digest()),
             ..Message::default()
-        };
+        }
+    }
+
+    fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
+        let message = self.digest_message();
         let mut recipients: Vec<id::HostName> = self.successor.iter().cloned().collect();
         recipients.extend(pick(&self.peers, draw));
         recipients.dedup();
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -5,21 +5,6 @@
 
 use crate::id;
 
-/// Whether fewer than `n` of `peers` come before `host` in hash order.
-#[must_use]
-pub fn is_among_first<'a>(
-    host: &id::HostName,
-    peers: impl Iterator<Item = &'a id::HostName>,
-    n: usize,
-) -> bool {
-    let own = (ring_position(host), host);
-    peers
-        .filter(|peer| (ring_position(peer), *peer) < own)
-        .take(n)
-        .count()
-        < n
-}
-
 /// The first `n` hosts in hash order.
 #[must_use]
 pub fn first<'a>(hosts: impl Iterator<Item = &'a id::HostName>, n: usize) -> Vec<id::HostName> {
@@ -28,6 +13,15 @@
     hosts.into_iter().take(n).cloned().collect()
 }
 
+/// All other hosts, nearest after `host` on the ring first; `hosts` is in hash order.
+#[must_use]
+pub fn successors(host: &id::HostName, hosts: &[id::HostName]) -> Vec<id::HostName> {
+    let position = hosts.iter().position(|other| other == host);
+    let (before, after) = hosts.split_at(position.unwrap_or(0));
+    let others = after.iter().chain(before).filter(|other| *other != host);
+    others.cloned().collect()
+}
+
 /// The peers at distances 1, 2, 4, 8 and so on after `host` on the ring, nearest first.
 ///
 /// There are few of them and they rarely change, yet every member can be reached in a
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -130,6 +130,12 @@
                         .notify(&peer, &NotificationHead::Withdraw(query))
                         .await;
                 }
+                Command::Heartbeat(peer, gossip) => {
+                    // The next one follows soon.
+                    let _ = client
+                        .notify(&peer, &NotificationHead::Gossip(gossip))
+                        .await;
+                }
                 Command::Probe(peer) => {
                     if client.notify(&peer, &NotificationHead::Probe).await.is_ok() {
                         (client.sink)(Event::Reachable(peer.host));
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -79,6 +79,8 @@
     Withdraw(Peer, call::Query),
     /// Send objects or a digest; only a failure is reported.
     Gossip(Peer, Gossip),
+    /// Send a heartbeat; nothing is reported.
+    Heartbeat(Peer, Gossip),
     /// Send objects, and report when the daemon has received them.
     Replicate(Peer, Gossip),
     /// Check whether a daemon is reachable.
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -26,6 +26,8 @@
     Tick,
     /// A membership round is due.
     MembershipRound,
+    /// A beat of the watch duty is due.
+    WatchBeat,
     /// A signal requested a planned stop.
     StopRequested,
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -200,6 +200,7 @@
         self.log_older(&listing.objects);
         let input = membership::Input::Read(listing.objects, rand::random());
         let mut effects = self.step(input);
+        effects.extend(self.step(membership::Input::Listed));
         self.announce_era(version::era(listing.revision), &mut effects);
         self.check_startup_sync(&mut effects);
         if self.profile.parse_table.is_some() {
@@ -251,6 +252,10 @@
             objects: gossip.objects,
             is_complete: gossip.is_complete,
         };
+        if message.as_heartbeat().is_some() {
+            let draw = rand::random();
+            return self.step(membership::Input::Received(gossip.host, message, draw));
+        }
         let is_equal = message.digest == Some(self.membership.replica().digest());
         let is_peer_synced = message.is_complete || is_equal;
         let mut effects = self.step(membership::Input::Received(
@@ -276,6 +281,20 @@
         effects
     }
 
+    /// Counts a beat of the watch duty.
+    pub fn on_watch_beat(&mut self) -> Vec<Effect> {
+        let before = self.membership.has_taken_over();
+        let is_connected = self.shared.watch_duty.is_connected();
+        let effects = self.step(membership::Input::Beat(is_connected));
+        let takes_over = self.membership.has_taken_over();
+        if takes_over && !before {
+            info!("no watcher that reaches the platform is heard, watching it");
+        } else if before && !takes_over {
+            info!("other watchers are heard, no longer watching the platform");
+        }
+        effects
+    }
+
     /// Processes an input of the membership state machine.
     pub fn step(&mut self, input: membership::Input) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -283,7 +302,10 @@
         for output in self.membership.step(input) {
             match output {
                 membership::Output::Send(host, message) => {
-                    effects.extend(self.gossip_effect(&host, message));
+                    effects.extend(self.message_effect(&host, message, Command::Gossip));
+                }
+                membership::Output::SendHeartbeat(host, message) => {
+                    effects.extend(self.message_effect(&host, message, Command::Heartbeat));
                 }
                 membership::Output::Changed(object) => {
                     is_member_changed |= self.apply_object(&object, &mut effects);
@@ -298,9 +320,14 @@
         effects
     }
 
-    fn gossip_effect(&self, host: &id::HostName, message: membership::Message) -> Option<Effect> {
+    fn message_effect(
+        &self,
+        host: &id::HostName,
+        message: membership::Message,
+        command: impl Fn(Peer, Gossip) -> Command,
+    ) -> Option<Effect> {
         let peer = self.peer(host)?;
-        Some(Effect::Send(Command::Gossip(peer, self.to_gossip(message))))
+        Some(Effect::Send(command(peer, self.to_gossip(message))))
     }
 
     fn to_gossip(&self, message: membership::Message) -> Gossip {
--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -21,8 +21,12 @@
 pub const WRITE_QUEUE_CAPACITY: usize = 64;
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
+/// Longest pause of a watcher, on which others rely, while the platform is unavailable.
+const WATCH_RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
 /// Interval between full reads by a daemon that does not watch the platform.
 const FULL_READ_INTERVAL: Duration = Duration::from_mins(5);
+/// Age up to which a daemon that begins to watch goes on from its latest read.
+const LISTED_RECENTLY: Duration = Duration::from_secs(2);
 /// Interval between reads of objects that spread by gossip instead of a watch; the reads
 /// recover updates that gossip lost.
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
@@ -53,12 +57,13 @@
     }
 }
 
-/// Whether this daemon watches the platform, and how long its watches wait. Set by the router for
-/// the threads that read.
+/// Whether this daemon watches the platform, and how long its watches wait, set by the router for
+/// the threads that read; and whether they reach the platform.
 #[derive(Debug, Default)]
 pub struct WatchDuty {
     waits: Mutex<Option<Waits>>,
     changed: Condvar,
+    is_connected: AtomicBool,
 }
 
 impl WatchDuty {
@@ -71,6 +76,11 @@
         }
     }
 
+    /// Whether this daemon watches, and the latest request of its watch was answered.
+    pub fn is_connected(&self) -> bool {
+        self.is_connected.load(Ordering::Relaxed)
+    }
+
     fn get(&self) -> Option<Waits> {
         *self.waits.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -121,8 +131,10 @@
 enum Watched {
     /// The wait is over without a change.
     Nothing,
-    /// Changes, or all objects, or a failure: other watchers see the same at the same time.
+    /// Changes, or all objects; other watchers get the same at the same time.
     News,
+    /// No valid response.
+    Failure,
 }
 
 impl Reader {
@@ -132,21 +144,19 @@
             thread::sleep(CONFIRM_INTERVAL);
             revision = self.list(Freshness::Current);
         }
-        let mut latest = Watched::News;
+        let mut listed_at = Instant::now();
         loop {
-            let Some(waits) = self.duty.get() else {
-                if self.duty.wait(FULL_READ_INTERVAL).is_none() {
-                    revision = self.list(Freshness::AllowStale);
-                }
-                latest = Watched::News;
+            if self.duty.wait(FULL_READ_INTERVAL).is_none() {
+                revision = self.list(Freshness::AllowStale);
+                listed_at = Instant::now();
                 continue;
-            };
+            }
             if self.sync_mode == SyncMode::Watch {
-                let wait = match latest {
-                    Watched::News => waits.first,
-                    Watched::Nothing => waits.next,
-                };
-                (revision, latest) = self.watch(revision, wait);
+                if listed_at.elapsed() > LISTED_RECENTLY {
+                    revision = self.list(Freshness::Current);
+                }
+                revision = self.watch_while_on_duty(revision);
+                listed_at = Instant::now();
             } else {
                 let freshness = self.wait_for_poll(version::era(revision));
                 revision = self.list(freshness);
@@ -154,6 +164,30 @@
         }
     }
 
+    /// Watches until this daemon need not any more; returns the revision that was reached.
+    fn watch_while_on_duty(&self, mut revision: id::Version) -> id::Version {
+        let mut latest = Watched::News;
+        let mut retry_delay = RETRY_DELAY;
+        self.set_connected(true);
+        while let Some(waits) = self.duty.get() {
+            let wait = match latest {
+                Watched::Nothing => waits.next,
+                Watched::News | Watched::Failure => waits.first,
+            };
+            let started_at = Instant::now();
+            (revision, latest) = self.watch(revision, wait);
+            if !matches!(latest, Watched::Failure) {
+                retry_delay = RETRY_DELAY;
+            } else if started_at.elapsed() < wait {
+                thread::sleep(retry_delay);
+                retry_delay = (retry_delay * 2).min(WATCH_RETRY_DELAY_MAX);
+            }
+            // Else its connection was silent. It has missed enough, and the next one is new.
+        }
+        self.set_connected(false);
+        revision
+    }
+
     /// Waits up to [`POLL_INTERVAL`], but not longer than until the platform's era has changed;
     /// then a stale read could still return objects of the era before.
     fn wait_for_poll(&self, era: u64) -> Freshness {
@@ -167,10 +201,20 @@
         Freshness::AllowStale
     }
 
+    /// Records whether the platform answered the latest request of a watch.
+    fn set_connected(&self, is_connected: bool) {
+        if self.sync_mode == SyncMode::Watch {
+            let state = &self.duty.is_connected;
+            state.store(is_connected, Ordering::Relaxed);
+        }
+    }
+
     /// Reads all objects; retries until it succeeds.
     fn list(&self, freshness: Freshness) -> id::Version {
         let listing = retry("read the platform", || {
-            self.client.list(self.prefix, freshness)
+            let listed = self.client.list(self.prefix, freshness);
+            self.set_connected(listed.is_ok() && self.duty.get().is_some());
+            listed
         });
         let revision = listing.revision;
         event::send_blocking(&self.tx, Event::ObjectsListed(self.prefix, listing));
@@ -179,9 +223,9 @@
 
     /// Watches for up to `wait`; returns the revision to go on from.
     fn watch(&self, revision: id::Version, wait: Duration) -> (id::Version, Watched) {
-        let started_at = Instant::now();
         match self.client.watch(self.prefix, revision, wait) {
             Ok(listing) => {
+                self.set_connected(true);
                 let watched = if listing.objects.is_empty() {
                     Watched::Nothing
                 } else {
@@ -195,13 +239,9 @@
                 (self.list(Freshness::Current), Watched::News)
             }
             Err(err) => {
+                self.set_connected(false);
                 warn!("could not watch the platform: {err}");
-                // A watch that got no response in time has missed enough; the next one opens a
-                // new connection.
-                if started_at.elapsed() < wait {
-                    thread::sleep(RETRY_DELAY);
-                }
-                (revision, Watched::News)
+                (revision, Watched::Failure)
             }
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -113,6 +113,10 @@
                 self.close_listeners_if_due();
             }
             Event::MembershipRound => self.run_membership_round(),
+            Event::WatchBeat => {
+                let effects = self.fleet.on_watch_beat();
+                self.apply_effects(effects);
+            }
             Event::StopRequested => self.begin_stop(),
         }
     }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -10,7 +10,7 @@
 
 use log::{info, warn};
 use pollenrouter_caller::listener as callers;
-use pollenrouter_core::{id, membership, quarantine, service, table};
+use pollenrouter_core::{id, membership, quarantine, service, table, watching};
 use pollenrouter_daemon::{keys, message as daemon, protocol, tls};
 use pollenrouter_http::clock;
 use pollenrouter_http::convention::Convention;
@@ -414,6 +414,13 @@
             event::try_send(&round_tx, Event::MembershipRound);
         }),
     );
+    let beat_tx = tx.clone();
+    timer.subscribe(
+        watching::BEAT_INTERVAL,
+        Box::new(move || {
+            event::try_send(&beat_tx, Event::WatchBeat);
+        }),
+    );
     timer.subscribe(SETTINGS_CHECK_INTERVAL, check_settings);
     timer.start()
 }
