Let a daemon that cannot reach a peer ask a watcher for news

Cause, from the log: four hosts were cut off together and reached each other. One of them was a watcher, whose heartbeats kept the host from taking over; it had the change 3 ms after the acknowledgement, but the host is none of its peers on the ring, and those that would have passed it on were out of reach of both. Ruled out: that the watch is late, that the change does not arrive there.

Fix: if a message to a peer fails, the daemon sends its digest to a watcher that it hears, once in 0.4 s at most. Nothing is sent while peers are in reach.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -350,6 +350,11 @@
     }
 
     fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
+        // The peers that pass updates on to this daemon may be out of its reach as well, while a
+        // watcher is not.
+        if let Some(watcher) = self.duty.watcher_to_ask() {
+            out.push(Output::Send(watcher, self.digest_message()));
+        }
         let is_successor = self.successor.as_ref() == Some(host);
         let Some(member) = self.members.get(host).filter(|_| is_successor) else {
             return;
--- a/crates/core/src/watching.rs
+++ b/crates/core/src/watching.rs
@@ -31,6 +31,8 @@
 const BLIND_WATCHERS_LATER: usize = 4 * WATCHERS_PER_DOMAIN;
 /// Beats without the platform after which more daemons try to reach it.
 const BLIND_BEATS: u64 = 5;
+/// Beats between two questions of a daemon to a watcher.
+const ASK_BEATS: u64 = 2;
 
 /// Time between the ends of two watches of a fleet. With the time for a response, a silence that
 /// hits all watches is over within two seconds, and within three if every second watcher is lost.
@@ -93,6 +95,8 @@
     heard_at: u64,
     /// Latest beat at which a watcher that reaches the platform was known.
     served_at: u64,
+    /// Beat at which a watcher was asked for news.
+    asked_at: u64,
     /// Whether this daemon's own watch reaches the platform.
     is_connected: bool,
     is_watching: bool,
@@ -108,6 +112,7 @@
             beat: 0,
             heard_at: STARTUP_BEATS,
             served_at: STARTUP_BEATS,
+            asked_at: 0,
             is_connected: false,
             is_watching: false,
         }
@@ -191,6 +196,19 @@
         self.is_connected || remote.any(|h| h.is_connected && is_recent(h, self.beat))
     }
 
+    /// A watcher in the own failure domain that gets news, to ask for it in place of a peer that
+    /// cannot be reached; `None` if one was asked a moment ago.
+    pub fn watcher_to_ask(&mut self) -> Option<id::HostName> {
+        if self.beat < self.asked_at + ASK_BEATS {
+            return None;
+        }
+        let mut heard = self.heard.iter();
+        let connected = heard.find(|(_, h)| h.is_connected && is_recent(h, self.beat));
+        let host = connected.map(|(host, _)| host.clone())?;
+        self.asked_at = self.beat;
+        Some(host)
+    }
+
     /// Whether a watcher of another failure domain has sent a heartbeat of late.
     #[must_use]
     pub fn hears_remote(&self, host: &id::HostName) -> bool {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -217,6 +217,39 @@
     }
 }
 
+/// Guards against a daemon whose peers are all out of reach and that hears of a change in none of
+/// the rounds, though a watcher still reaches it.
+#[test]
+fn a_daemon_that_cannot_reach_a_peer_asks_a_watcher() {
+    let mut fleet = fleet(&FULL);
+    let watcher = fleet.watchers().swap_remove(0);
+    let domain = host_number(&watcher) % 4;
+    let hosts = fleet.daemons.keys().cloned();
+    let mut others = hosts.filter(|h| host_number(h) % 4 == domain && *h != watcher);
+    let (own, lost) = (others.next(), others.next());
+    let (own, lost) = own.zip(lost).expect("domain must have more hosts");
+    let daemon = fleet.daemons.get_mut(&own).expect("daemon must exist");
+    let heartbeat = Message::heartbeat(true);
+    daemon.step(received(&watcher, heartbeat, 1));
+    let asked = |out: &[Output]| {
+        let is_asked = |output: &&Output| matches!(output, Output::Send(to, _) if *to == watcher);
+        out.iter().filter(is_asked).count()
+    };
+    (0..2).for_each(|_| drop(daemon.step(Input::Beat(false))));
+    let unreachable = || Input::Unreachable(lost.clone());
+    assert_eq!(asked(&daemon.step(unreachable())), 1);
+    // Several messages fail together.
+    assert_eq!(asked(&daemon.step(unreachable())), 0);
+    (0..2).for_each(|_| drop(daemon.step(Input::Beat(false))));
+    assert_eq!(asked(&daemon.step(unreachable())), 1);
+    (0..5).for_each(|_| drop(daemon.step(Input::Beat(false))));
+    assert_eq!(
+        asked(&daemon.step(unreachable())),
+        0,
+        "the watcher is not heard"
+    );
+}
+
 #[test]
 fn only_the_predecessor_reports_an_unreachable_daemon() {
     let fleet = fleet(&FULL);
