Reject deeply nested documents before the recursive loader

Cause: the loader of YAML recurses for each level of a block sequence or of a complex key; its own limit counts flow collections only. Fix: the parser's events, which take no stack, are counted first; more than 32 levels are a finding.

Before and after: deep_nesting_is_a_finding ended the test program; its three cases hold.

--- a/crates/operator/src/yaml.rs
+++ b/crates/operator/src/yaml.rs
@@ -9,12 +9,15 @@
 use std::time::Duration;
 
 use saphyr::{LoadableYamlNode, MarkedYaml, Marker, Scalar, YamlData};
+use saphyr_parser::{Event, Parser};
 use smol_str::SmolStr;
 
 use crate::finding::Finding;
 
 /// Maximum size of a text, bytes; the platform stores no larger values.
 const TEXT_MAX_BYTES: usize = 1 << 20;
+/// Maximum nesting of a text. Deeper ones overflow the stack of the loader, which is recursive.
+const DEPTH_MAX: usize = 32;
 /// Maximum duration, seconds.
 const SECONDS_MAX: f64 = 86_400.0;
 const NAME_MAX_CHARS: usize = 63;
@@ -58,6 +61,10 @@
         );
         return Err(findings.sorted());
     }
+    if let Some(marker) = find_too_deep(text) {
+        findings.add(marker, format!("text is nested deeper than {DEPTH_MAX}"));
+        return Err(findings.sorted());
+    }
     let value = match MarkedYaml::load_from_str(text) {
         Err(err) => {
             findings.add(*err.marker(), err.info().to_owned());
@@ -81,6 +88,23 @@
     value.filter(|_| found.is_empty()).ok_or(found)
 }
 
+/// Finds where the nesting of a text exceeds [`DEPTH_MAX`].
+fn find_too_deep(text: &str) -> Option<Marker> {
+    let mut depth = 0_usize;
+    // An error ends the text; the loader reports it.
+    for (event, span) in Parser::new_from_str(text).map_while(Result::ok) {
+        match event {
+            Event::SequenceStart(..) | Event::MappingStart(..) => depth += 1,
+            Event::SequenceEnd | Event::MappingEnd => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEPTH_MAX {
+            return Some(span.start);
+        }
+    }
+    None
+}
+
 /// Reads the fields of one mapping. Methods that read a field return `None` if they report a
 /// finding.
 pub struct FieldReader<'a, 'input> {
--- a/crates/operator/tests/findings.rs
+++ b/crates/operator/tests/findings.rs
@@ -138,3 +138,14 @@
     let text = include_str!("../../../examples/settings.yaml");
     assert_eq!(messages(settings::check(text)), Vec::<String>::new());
 }
+
+/// Guards against a text that ends the daemons that read it, by an overflow of the stack.
+#[rstest]
+#[case::sequences("- ".repeat(100_000), "1:65: text is nested deeper than 32")]
+#[case::flow_sequences("[".repeat(100_000), "1:256: recursion limit exceeded")]
+#[case::mappings("? ".repeat(100_000), "1:65: text is nested deeper than 32")]
+fn deep_nesting_is_a_finding(#[case] text: String, #[case] finding: &str) {
+    let findings = document::check(&text).expect_err("document must be rejected");
+    let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    assert_eq!(findings, [finding]);
+}
