Read objects of other writers one by one, and skip those that cannot be read

Here it made the page and the response to a watch unreadable, which were asked for again for ever; one in place of the own member object, or a 409 without an object, kept a daemon from registering (`harness restarted`); a member object under the name of another host replaced that host's; 2^32 - 1 slots ended a debug build.

Cause: lists were parsed as a whole into typed objects, and what could be read was taken for sound. Ruled out: stack overflows in JSON, whose parser refuses depth.

--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -148,13 +148,15 @@
         let limits = self.document.as_ref().map(|document| &document.limits);
         let (slot_percent, cold_percent) =
             limits.map_or((100, 0), |l| (l.slot_percent, l.cold_percent));
-        let slots = (slots * slot_percent / 100).max(slots.min(1));
+        let part = u64::from(slots) * u64::from(slot_percent) / 100;
+        let slots = u32::try_from(part).unwrap_or(u32::MAX).max(slots.min(1));
         let age = now.saturating_sub(target.first_announced_at);
         if age >= cold_start {
             return slots;
         }
         let warm_slots = age.as_micros() * u128::from(slots) / cold_start.as_micros().max(1);
-        let initial_slots = slots * cold_percent / 100;
+        let initial_slots = u64::from(slots) * u64::from(cold_percent) / 100;
+        let initial_slots = u32::try_from(initial_slots).unwrap_or(u32::MAX);
         u32::try_from(warm_slots)
             .unwrap_or(slots)
             .max(initial_slots)
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -159,7 +159,11 @@
             listing.revision = listing.revision.min(part.revision);
             listing.objects.extend(part.objects);
             match page.next_cursor {
-                Some(next) => cursor = next,
+                Some(next) if next != cursor => cursor = next,
+                Some(_) => {
+                    warn!(prefix, cursor:%; "the platform's listing does not go on, the rest of it is skipped");
+                    return Ok(listing);
+                }
                 None => return Ok(listing),
             }
         }
@@ -219,20 +223,24 @@
         let write = (self.dialect.write_request)(key, value, version::revision(expected));
         let response =
             self.request(write.method, &write.path, Some(write.body), REQUEST_TIMEOUT)?;
-        let current = || {
-            let parsed = (self.dialect.parse_version)(&response.body);
-            let revision = parsed.map_err(malformed_response)?;
-            Ok(version::in_era(response.era, revision))
-        };
         match response.status {
-            OK | CREATED => current(),
+            OK | CREATED => {
+                let parsed = (self.dialect.parse_version)(&response.body);
+                let revision = parsed.map_err(malformed_response)?;
+                Ok(version::in_era(response.era, revision))
+            }
             CONFLICT => {
-                let stored = (self.dialect.parse_object)(key, &response.body).ok();
+                // Not every platform returns the object, or one that can be read.
+                let stored = match (self.dialect.parse_object)(key, &response.body) {
+                    Ok(object) => Some(self.in_era(response.era, object)),
+                    Err(_) => self.get(key)?,
+                };
+                let current = stored.as_ref().map_or(0, |object| object.version);
                 Err(PlatformError::Conflict(
                     key.into(),
                     expected,
-                    current()?,
-                    stored.map(|object| self.in_era(response.era, object)),
+                    current,
+                    stored,
                 ))
             }
             other => Err(unexpected_status(other)),
@@ -323,7 +331,8 @@
         let status = response.status().as_u16();
         let era = self.read_era(response.headers())?;
         let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
-        let text = body.read_to_string();
+        // Bytes that are no text spoil the object that has them, and no other.
+        let text = body.lossy_utf8(true).read_to_string();
         Ok(Response {
             status,
             era,
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use log::warn;
 use pollenrouter_core::{id, replica};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
 use crate::client::Listing;
@@ -92,14 +94,20 @@
     parse_object: |_, body| parse(body),
     parse_page: |_, body| {
         Ok(Page {
-            listing: parse(body)?,
+            listing: parse_listing(body)?,
             next_cursor: None,
         })
     },
-    parse_changes: |_, body| parse(body),
+    parse_changes: |_, body| parse_listing(body),
     parse_version: |body| parse::<WriteResponse>(body).map(|response| response.version),
 };
 
+#[derive(Deserialize)]
+struct ListingBody {
+    revision: id::Version,
+    objects: Vec<Item>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct WriteResponse {
     version: id::Version,
@@ -118,6 +126,36 @@
     }
 }
 
+fn parse_listing(body: &str) -> Result<Listing, ParseError> {
+    let parsed: ListingBody = parse(body)?;
+    Ok(Listing {
+        revision: parsed.revision,
+        objects: parse_items(&parsed.objects),
+    })
+}
+
+/// An item of a list that is parsed on its own.
+pub type Item = Box<RawValue>;
+
+/// Parses the items of a list, and skips those that cannot be read: other writers' objects must not
+/// hide the rest.
+#[must_use]
+pub fn parse_items<T: DeserializeOwned>(items: &[Item]) -> Vec<T> {
+    let mut parsed = Vec::with_capacity(items.len());
+    let mut skipped = None;
+    for item in items {
+        match serde_json::from_str(item.get()) {
+            Ok(item) => parsed.push(item),
+            Err(err) => skipped = Some(err),
+        }
+    }
+    if let Some(err) = skipped {
+        let count = items.len() - parsed.len();
+        warn!(count; "objects of the platform that cannot be read are skipped, the last one: {err}");
+    }
+    parsed
+}
+
 fn parse<T: DeserializeOwned>(body: &str) -> Result<T, ParseError> {
     serde_json::from_str(body).map_err(|err| err.to_string())
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -1,6 +1,7 @@
 //! One daemon's view of the fleet: members, active documents and gossip.
 
 mod activation;
+mod checks;
 mod crashes;
 mod departures;
 mod eras;
@@ -299,6 +300,7 @@
     pub fn step(&mut self, input: membership::Input) -> Vec<Effect> {
         let mut effects = Vec::new();
         let mut is_member_changed = false;
+        let input = checks::without_malformed(input, self.membership.replica());
         for output in self.membership.step(input) {
             match output {
                 membership::Output::Send(host, message) => {
