Do not offer a call again to a gate whose target has shed it

A copy of another attempt is reported as lost here and its connection closed (new test, held at once). But one attempt could reach one target twice: a gate that was slow at first stays on a list of gates to try again, also if its target sheds the call in between and the last other gate leaves. A second copy of that refusal would pass for the answer.

Fix: such a gate leaves the list. Weighed: closing connections after refusals, which costs targets that are full.

--- a/crates/core/src/entry/placement.rs
+++ b/crates/core/src/entry/placement.rs
@@ -61,6 +61,18 @@
         }
     }
 
+    /// Records that the target has shed the call, so that it does not get the call again: a faulty
+    /// target may write its refusal once more, which would pass for the answer to that offer.
+    pub(super) fn record_shed(&mut self, token: Token) {
+        let Some(pending) = self.pending.get_mut(&token) else {
+            return;
+        };
+        if let Some(attempt) = &pending.attempt {
+            let hosts = &mut pending.slow_gates.hosts;
+            hosts.retain(|host| *host != attempt.host);
+        }
+    }
+
     /// The next gate for a call without a ticket.
     pub(super) fn next_placement(&self, now: Duration, pending: &Pending) -> Option<Placement> {
         let slow = &pending.slow_gates;
--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -25,6 +25,7 @@
         let reached_target = refusal == Refusal::Shed;
         if reached_target {
             self.count_target_attempt(token);
+            self.record_shed(token);
         }
         let is_final = has_ticket || refusal == Refusal::CrashesTargets;
         if !is_final && self.may_retry(now, token, reached_target) {
--- a/crates/dev/src/faulty.rs
+++ b/crates/dev/src/faulty.rs
@@ -7,9 +7,13 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::net::sockopt;
+
 /// Pause between the bytes of a trickle.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
 const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+/// Head of an answer that states, in the default convention, that the call did not run.
+const REFUSAL_HEAD: &str = "HTTP/1.1 503 Service Unavailable\r\ntarget-shed: 1\r\n";
 const BLOCK: [u8; 4096] = [b'y'; 4096];
 /// Chunks of a long body.
 const LONG_BODY_CHUNKS: usize = 32;
@@ -23,6 +27,12 @@
     NoEcho,
     /// Answers, and sends another copy of the answer in front of the next one.
     SecondCopy,
+    /// Refuses to run the call, and sends another copy of the refusal in front of the next answer.
+    RefusedTwice,
+    /// Sends this many bytes of an answer in this form, and closes the connection.
+    Cut(Form, usize),
+    /// Sends an answer whose body ends with the connection, and resets the connection.
+    ResetBody,
     /// Sends nothing.
     Silent,
     /// Sends bytes that are no answer, without end.
@@ -59,6 +69,48 @@
     TrickledBody,
 }
 
+/// How a complete answer is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// With the length of the body.
+    Length,
+    /// With a body in chunks.
+    Chunks,
+    /// With line feeds only.
+    BareLineFeeds,
+    /// Behind an interim response.
+    AfterInterim,
+}
+
+impl Form {
+    /// All forms.
+    pub const ALL: [Self; 4] = [
+        Self::Length,
+        Self::Chunks,
+        Self::BareLineFeeds,
+        Self::AfterInterim,
+    ];
+
+    /// Length of the answer to a request with this head, bytes.
+    #[must_use]
+    pub fn answer_len(self, head: &str) -> usize {
+        self.write(&echoed_headers(head)).len()
+    }
+
+    /// The answer; `id` holds the headers that show its call.
+    fn write(self, id: &str) -> String {
+        let answer = format!("{HEAD}{id}content-length: 4\r\n\r\ndone");
+        match self {
+            Self::Length => answer,
+            Self::Chunks => {
+                format!("{HEAD}{id}transfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n")
+            }
+            Self::BareLineFeeds => answer.replace("\r\n", "\n"),
+            Self::AfterInterim => format!("HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n{answer}"),
+        }
+    }
+}
+
 impl Fault {
     /// All faults whose answers never end.
     pub const ENDLESS: [Self; 9] = [
@@ -141,6 +193,22 @@
                 stream.write_all(&answer)?;
                 copy = answer;
             }
+            Fault::RefusedTwice => {
+                let refusal = format!("{REFUSAL_HEAD}{id}content-length: 0\r\n\r\n");
+                stream.write_all(refusal.as_bytes())?;
+                copy = refusal.into_bytes();
+            }
+            Fault::Cut(form, len) => {
+                let answer = form.write(&id);
+                let len = len.min(answer.len());
+                return stream.write_all(&answer.as_bytes()[..len]);
+            }
+            Fault::ResetBody => {
+                stream.write_all(format!("{HEAD}{id}\r\ndone").as_bytes())?;
+                // Closing the socket then resets the connection.
+                sockopt::set_socket_linger(&stream, Some(Duration::ZERO))?;
+                return Ok(());
+            }
             Fault::NoEcho => {
                 stream.write_all(format!("{HEAD}content-length: 4\r\n\r\ndone").as_bytes())?;
             }
--- a/crates/target/tests/faulty.rs
+++ b/crates/target/tests/faulty.rs
@@ -12,7 +12,7 @@
 use pollenrouter_core::call::Refusal;
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::{gate, http_message, id};
-use pollenrouter_dev::faulty::{self, Fault, Seen, Target};
+use pollenrouter_dev::faulty::{self, Fault, Form, Seen, Target};
 use pollenrouter_http::{clock, convention};
 use pollenrouter_target::message::{Command, Event, OutboundCall};
 use pollenrouter_target::sender;
@@ -161,6 +161,18 @@
     }
 }
 
+/// The head of the next request for `path`.
+fn head_of(target: &Target, path: &str) -> String {
+    loop {
+        let seen = target.seen.recv_timeout(TIMEOUT);
+        if let Seen::Request(_, head) = seen.expect("request must arrive")
+            && head.contains(&format!(" {path} "))
+        {
+            return head;
+        }
+    }
+}
+
 #[test]
 fn a_call_without_an_answer_is_lost_and_its_connection_closed() {
     for fault in Fault::ENDLESS.into_iter().chain(Fault::SILENT) {
@@ -250,6 +262,53 @@
     assert_ne!(connection_of(&target, "/good"), 0);
 }
 
+/// Guards against a late second copy of a refusal that passes for the refusal of the next call,
+/// which the target runs.
+#[test]
+fn a_second_copy_of_a_refusal_does_not_refuse_the_next_call() {
+    let target = target(Fault::RefusedTwice);
+    let mut client = Client::start(&target);
+    let refused = gate::Outcome::NotStarted(Refusal::Shed);
+    assert_eq!(client.call("/fault"), refused);
+    // The copy arrives on the connection of this call.
+    let outcome = client.call("/good");
+    assert_eq!(connection_of(&target, "/good"), 0);
+    assert_eq!(outcome, gate::Outcome::Lost);
+    assert!(is_answered(&client.call("/good")));
+}
+
+/// Guards against an answer that breaks off anywhere in its head or its body and passes for a
+/// complete one.
+#[rstest]
+#[case::new_connection(false)]
+#[case::kept_connection(true)]
+fn an_answer_that_is_cut_at_any_byte_is_no_answer(#[case] is_kept: bool) {
+    for form in Form::ALL {
+        for len in 0.. {
+            let target = target(Fault::Cut(form, len));
+            let mut client = Client::start(&target);
+            client.deadline = TIMEOUT;
+            if is_kept {
+                assert!(is_answered(&client.call("/good")));
+            }
+            if is_answered(&client.call("/fault")) {
+                let head = head_of(&target, "/fault");
+                assert_eq!(len, form.answer_len(&head), "{form:?}");
+                break;
+            }
+        }
+    }
+}
+
+/// Guards against an answer without a length that passes for complete though its connection was
+/// reset.
+#[test]
+fn a_body_that_ends_with_a_reset_is_no_answer() {
+    let target = target(Fault::ResetBody);
+    let mut client = Client::start(&target);
+    assert_eq!(client.call("/fault"), gate::Outcome::Lost);
+}
+
 /// Without the id of its call, an answer could be a copy of the one before, so each comes on a
 /// connection of its own.
 #[test]
