Let a watcher forward updates from its start, not from its first beat

Bisected to: a daemon that is assigned to watch counted as a watcher only from the first beat after it knew its domain, and until then told other domains of no change. A departure acknowledged in the first 0.2 s stood with the platform only.

Fix: it is a watcher as soon as it is assigned; its own watch begins with the beat, as before.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -177,10 +177,10 @@
         &self.replica
     }
 
-    /// Whether this daemon should watch the platform.
+    /// Whether this daemon is a watcher: it forwards updates to other failure domains.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
-        self.duty.is_watching()
+        self.duty.is_assigned() || self.duty.is_watching()
     }
 
     /// Whether this daemon watches the platform because it hears of no watcher that does.
@@ -197,7 +197,7 @@
         } else {
             self.watch_waits
         };
-        self.is_watcher().then_some(waits)
+        self.duty.is_watching().then_some(waits)
     }
 
     fn send_heartbeats(&self, out: &mut Vec<Output>) {
--- a/crates/core/src/watching.rs
+++ b/crates/core/src/watching.rs
@@ -216,7 +216,10 @@
         heartbeat.is_some_and(|h| is_recent(h, self.beat))
     }
 
-    fn is_assigned(&self) -> bool {
+    /// Whether this daemon is assigned to watch. It begins with the next beat: a daemon that starts
+    /// knows itself first, and those that come before it only a moment later.
+    #[must_use]
+    pub fn is_assigned(&self) -> bool {
         self.rank.is_some_and(|rank| rank < WATCHERS_PER_DOMAIN)
     }
 
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -70,7 +70,6 @@
     for own in &members {
         let mut daemon = Membership::new(own.clone());
         daemon.step(Input::Members(members.clone()));
-        daemon.step(Input::Beat(true));
         daemons.insert(own.host.clone(), daemon);
     }
     Fleet {
