Acknowledge a departure only once another daemon has a copy of the registration

Seen: one of 32 runs of a_departure_in_the_store_survives_restarts_while_the_store_is_unavailable failed (case draining): after the restart the target was served again.

Cause: the departure was acknowledged when the platform had stored it, while the message to the peers was still under way. A daemon that is killed just then, with the platform out, learns its older member object from them.

--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -31,6 +31,22 @@
         let object = object::departure(&self.own.host, incarnation);
         let read = membership::Input::Read(vec![object.clone()], rand::random());
         let mut effects = self.step(read);
+        effects.extend(self.replicate(&object, REPLICAS_REQUESTED));
+        effects
+    }
+
+    /// Asks other daemons to store this daemon's registration, which the platform has stored.
+    pub fn copy_registration(&self) -> Vec<Effect> {
+        let key = object::member_key(&self.own.host);
+        let registration = self.membership.replica().get(&key);
+        registration.map_or_else(Vec::new, |registration| {
+            self.replicate(registration, REPLICAS_REQUIRED)
+        })
+    }
+
+    /// Sends an object to `count` other daemons, first to those that a starting daemon asks first:
+    /// those of its own failure domain.
+    fn replicate(&self, object: &replica::Object, count: usize) -> Vec<Effect> {
         let others = self
             .members
             .values()
@@ -39,26 +55,23 @@
         let mut hosts: Vec<(&id::DomainName, &id::HostName)> = hosts.collect();
         let offset = usize::from(rand::random::<u16>()) % hosts.len().max(1);
         hosts.rotate_left(offset);
-        // A starting daemon requests objects from its own failure domain first.
         hosts.sort_by_key(|(domain, _)| **domain != self.own.failure_domain);
-        let hosts: Vec<id::HostName> = hosts.into_iter().map(|(_, host)| host.clone()).collect();
-        for host in hosts.into_iter().take(REPLICAS_REQUESTED) {
-            if let Some(peer) = self.peer(&host) {
-                let message = membership::Message {
-                    objects: vec![object.clone()],
-                    ..membership::Message::default()
-                };
-                effects.push(Effect::Send(Command::Replicate(
-                    peer,
-                    self.to_gossip(message),
-                )));
-            }
-        }
-        effects
+        let hosts = hosts.into_iter().map(|(_, host)| host).take(count);
+        let replicate = |peer| {
+            let message = membership::Message {
+                objects: vec![object.clone()],
+                ..membership::Message::default()
+            };
+            Effect::Send(Command::Replicate(peer, self.to_gossip(message)))
+        };
+        hosts
+            .filter_map(|host| self.peer(host).map(replicate))
+            .collect()
     }
 
     /// Records that another daemon stores objects; returns the departures of targets on
-    /// this host that enough daemons store now.
+    /// this host that enough daemons store now. One is enough of a departure that the platform
+    /// has stored, too: it spreads from there.
     pub fn on_replicated(
         &mut self,
         host: &id::HostName,
@@ -66,6 +79,11 @@
     ) -> Vec<TargetIncarnation> {
         let mut replicated = Vec::new();
         for object in objects {
+            if object.key == object::member_key(&self.own.host) {
+                let member = serde_json::from_str::<Member>(&object.value);
+                replicated.extend(member.into_iter().flat_map(|member| member.departed));
+                continue;
+            }
             let replicas = self
                 .departure_replicas
                 .entry(object.key.clone())
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -109,7 +109,7 @@
             Event::Tick => {
                 self.calls.tick();
                 self.update_quarantine();
-                self.replicate_overdue_departures();
+                self.check_overdue_departures();
                 self.close_listeners_if_due();
             }
             Event::MembershipRound => self.run_membership_round(),
@@ -166,7 +166,7 @@
             daemon::Event::Reachable(host) => self.calls.handle_reachable(host),
             daemon::Event::Replicated(host, objects) => {
                 for incarnation in self.fleet.on_replicated(&host, &objects) {
-                    self.handle_departure_stored(incarnation);
+                    self.handle_departure_copied(incarnation);
                 }
             }
             daemon::Event::Unreachable(host) => {
--- a/crates/router/src/router/departures.rs
+++ b/crates/router/src/router/departures.rs
@@ -1,4 +1,5 @@
-//! Departures of targets: each is acknowledged once it is stored outside this process.
+//! Departures of targets: each is acknowledged once it is stored outside this process, and other
+//! daemons can tell it to the next incarnation of this one.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -12,10 +13,16 @@
 /// daemons. A target waits one second for an acknowledgement.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Departure that is not yet stored.
+/// A departure that the platform has stored is acknowledged after this time at the latest, even if
+/// no other daemon has confirmed a copy: there may be none in reach.
+const COPY_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Departure that is not yet acknowledged.
 pub(super) struct PendingDeparture {
     incarnation: TargetIncarnation,
     received_at: Duration,
+    /// When the platform had stored it.
+    stored_at: Option<Duration>,
     /// Whether other daemons were asked to store a copy.
     copies_requested: bool,
     /// `None` if the target does not wait for an acknowledgement.
@@ -74,14 +81,25 @@
         self.pending_departures.push(PendingDeparture {
             incarnation,
             received_at: self.calls.now(),
+            stored_at: None,
             copies_requested: false,
             reply_to,
         });
     }
 
-    /// Copies departures to other daemons if the platform did not store them in time.
-    pub(super) fn replicate_overdue_departures(&mut self) {
+    /// Copies departures to other daemons if the platform did not store them in time, and
+    /// acknowledges those that it has stored but no other daemon confirms.
+    pub(super) fn check_overdue_departures(&mut self) {
         let now = self.calls.now();
+        let is_overdue = |departure: &&PendingDeparture| {
+            let stored_at = departure.stored_at;
+            stored_at.is_some_and(|stored_at| now >= stored_at + COPY_TIMEOUT)
+        };
+        let overdue = self.pending_departures.iter().filter(is_overdue);
+        let overdue: Vec<_> = overdue.map(|d| d.incarnation.clone()).collect();
+        for incarnation in overdue {
+            self.handle_departure_copied(incarnation);
+        }
         let mut effects = Vec::new();
         for departure in &mut self.pending_departures {
             if !departure.copies_requested && now >= departure.received_at + PLATFORM_TIMEOUT {
@@ -100,8 +118,32 @@
         self.apply_effects(effects);
     }
 
-    /// Acknowledges a departure that is now stored outside this process.
+    /// Has other daemons copy a departure that the platform has stored. Without a copy, an
+    /// incarnation of this daemon that starts while the platform is out would not learn of it.
     pub(super) fn handle_departure_stored(&mut self, incarnation: TargetIncarnation) {
+        self.calls.handle_departure(incarnation.clone());
+        let now = self.calls.now();
+        let mut is_pending = false;
+        for departure in &mut self.pending_departures {
+            if incarnation.implies_departure_of(&departure.incarnation) {
+                departure.stored_at.get_or_insert(now);
+                is_pending = true;
+            }
+        }
+        let effects = if is_pending {
+            self.fleet.copy_registration()
+        } else {
+            Vec::new()
+        };
+        if effects.is_empty() {
+            self.handle_departure_copied(incarnation);
+        } else {
+            self.apply_effects(effects);
+        }
+    }
+
+    /// Acknowledges a departure that a restart of this daemon does not lose any more.
+    pub(super) fn handle_departure_copied(&mut self, incarnation: TargetIncarnation) {
         self.calls.handle_departure(incarnation.clone());
         let (stored, unstored) = std::mem::take(&mut self.pending_departures)
             .into_iter()
