--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,6 +1,7 @@
 //! Gossip of the platform's objects between daemons, and the duties of watchers.
 //!
-//! A few daemons of each failure domain, the watchers, watch the platform; [`crate::watching`] says which. Each daemon has
+//! A few daemons of each failure domain, the watchers, watch the platform;
+//! [`crate::watching`] decides which. Each daemon has
 //! a few stable peers on the hash ring of its failure domain. It forwards updates to all of
 //! them immediately; a digest that it sends to one of them each round repairs lost
 //! messages. Only watchers communicate with other failure domains, and only with the
@@ -60,18 +61,18 @@
 impl Message {
     /// A heartbeat of a watcher. Daemons of earlier versions ignore it.
     #[must_use]
-    pub fn heartbeat(gets_news: bool) -> Self {
+    pub fn heartbeat(receives_updates: bool) -> Self {
         Self {
-            versions: gets_news.then(BTreeMap::new),
+            versions: receives_updates.then(BTreeMap::new),
             ..Self::default()
         }
     }
 
-    /// Whether news of the platform reaches the sender, if this is a heartbeat.
+    /// Whether updates of the platform reach the sender, if this is a heartbeat.
     #[must_use]
     pub fn as_heartbeat(&self) -> Option<bool> {
-        let gets_news = self.versions.is_some();
-        (*self == Self::heartbeat(gets_news)).then_some(gets_news)
+        let receives_updates = self.versions.is_some();
+        (*self == Self::heartbeat(receives_updates)).then_some(receives_updates)
     }
 }
 
@@ -202,9 +203,9 @@
 
     fn send_heartbeats(&self, out: &mut Vec<Output>) {
         let own_domain = self.domain_hosts().filter(|host| **host != self.own.host);
-        let message = Message::heartbeat(self.duty.gets_news());
+        let message = Message::heartbeat(self.duty.receives_updates());
         out.extend(own_domain.map(|host| Output::SendHeartbeat(host.clone(), message.clone())));
-        // Traffic between failure domains is billed: others are asked only if need be.
+        // Traffic between failure domains is billed: their watchers are asked only in an outage.
         if !self.duty.is_connected() {
             let message = Message::heartbeat(false);
             let remote = self.remote_watchers.iter().flatten();
@@ -212,18 +213,23 @@
         }
     }
 
-    fn record_heartbeat(&mut self, host: id::HostName, gets_news: bool, out: &mut Vec<Output>) {
+    fn record_heartbeat(
+        &mut self,
+        host: id::HostName,
+        receives_updates: bool,
+        out: &mut Vec<Output>,
+    ) {
         let Some(member) = self.members.get(&host) else {
             return;
         };
         if member.failure_domain != self.own.failure_domain {
-            // Only what is seen here is told, or news that nobody gets could go round.
-            if !gets_news && self.duty.is_connected() {
+            // Only the own watch counts, or two daemons could keep each other in a false belief.
+            if !receives_updates && self.duty.is_connected() {
                 let message = Message::heartbeat(true);
                 out.push(Output::SendHeartbeat(host.clone(), message));
             }
-            self.duty.record_remote_heartbeat(host, gets_news);
-        } else if self.duty.record_heartbeat(host.clone(), gets_news) {
+            self.duty.record_remote_heartbeat(host, receives_updates);
+        } else if self.duty.record_heartbeat(host.clone(), receives_updates) {
             out.push(Output::Send(host, self.digest_message()));
         }
     }
@@ -275,7 +281,7 @@
         out.extend(remote.map(|host| Output::Send(host, notice.clone())));
     }
 
-    /// One watcher of another failure domain; one that has asked for news, if there is any.
+    /// One watcher of another failure domain; one that has asked for updates, if there is any.
     fn pick_watcher(&self, watchers: &[id::HostName], draw: u64) -> Option<id::HostName> {
         let asking = watchers.iter().filter(|host| self.duty.hears_remote(host));
         let asking: Vec<id::HostName> = asking.cloned().collect();
@@ -316,8 +322,8 @@
 
     fn received(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
         self.missed_rounds.remove(&host);
-        if let Some(gets_news) = message.as_heartbeat() {
-            self.record_heartbeat(host, gets_news, out);
+        if let Some(receives_updates) = message.as_heartbeat() {
+            self.record_heartbeat(host, receives_updates, out);
             return;
         }
         self.merge(message.objects, draw, out);
--- a/crates/core/src/watching.rs
+++ b/crates/core/src/watching.rs
@@ -1,7 +1,7 @@
 //! Which daemons watch the platform, and for how long.
 //!
 //! In each failure domain the first daemons on the hash ring are assigned to watch. They send
-//! heartbeats to all daemons of the domain, which state whether news of the platform reaches them. A
+//! heartbeats to all daemons of the domain, which state whether updates of the platform reach them. A
 //! daemon that hears none, since its watchers are lost or out of its reach, takes over. A watcher
 //! that does not reach the platform asks those of other domains for a heartbeat.
 //!
@@ -20,18 +20,19 @@
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Beats between two heartbeats of a watcher.
 const HEARTBEAT_BEATS: u64 = 2;
-/// Beats after which a heartbeat no longer counts. One may be lost; and a change must be in force
-/// within two seconds, of which this is the largest part if the watchers were lost just before.
+/// Beats after which a heartbeat no longer counts: one may be lost, and a change that comes just
+/// after the loss of the watchers must still be in force within two seconds.
 const HEARTBEAT_TTL_BEATS: u64 = 4;
 /// Beats after the start in which missing heartbeats mean nothing: others may be starting, too.
 const STARTUP_BEATS: u64 = 15;
-/// Watchers of a domain, assigned or not, while no watcher reaches the platform: it may turn only
-/// some hosts away. More of them try later; all of them would be too many for a platform in need.
-const BLIND_WATCHERS: usize = 2 * WATCHERS_PER_DOMAIN;
-const BLIND_WATCHERS_LATER: usize = 4 * WATCHERS_PER_DOMAIN;
-/// Beats without the platform after which more daemons try to reach it.
-const BLIND_BEATS: u64 = 5;
-/// Beats between two questions of a daemon to a watcher.
+/// Watchers of a domain while none of them reaches the platform, which may turn away only some
+/// hosts. If all daemons tried, they would overload a platform that is coming back.
+const OUTAGE_WATCHERS: usize = 2 * WATCHERS_PER_DOMAIN;
+/// The same once the outage has lasted for [`LONG_OUTAGE_BEATS`].
+const LONG_OUTAGE_WATCHERS: usize = 4 * WATCHERS_PER_DOMAIN;
+/// Length of a long outage.
+const LONG_OUTAGE_BEATS: u64 = 5;
+/// Beats between two requests of a daemon to a watcher, in place of a peer out of reach.
 const ASK_BEATS: u64 = 2;
 
 /// Time between the ends of two watches of a fleet. With the time for a response, a silence that
@@ -87,7 +88,7 @@
     ranks: BTreeMap<id::HostName, usize>,
     /// Heartbeats of watchers in the failure domain.
     heard: BTreeMap<id::HostName, Heartbeat>,
-    /// Heartbeats of watchers in other failure domains: questions, or answers that state what these
+    /// Heartbeats of watchers in other failure domains: requests, or replies that state what these
     /// watchers see themselves.
     heard_remote: BTreeMap<id::HostName, Heartbeat>,
     beat: u64,
@@ -95,7 +96,7 @@
     heard_at: u64,
     /// Latest beat at which a watcher that reaches the platform was known.
     served_at: u64,
-    /// Beat at which a watcher was asked for news.
+    /// Beat at which a watcher was asked for updates.
     asked_at: u64,
     /// Whether this daemon's own watch reaches the platform.
     is_connected: bool,
@@ -146,7 +147,7 @@
     }
 
     /// Records a heartbeat of a watcher in the own failure domain. Returns whether it is the first
-    /// one after a silence, in which news may have been missed.
+    /// one after a silence, in which updates may have been missed.
     pub fn record_heartbeat(&mut self, host: id::HostName, is_connected: bool) -> bool {
         let is_first = self.beat > self.heard_at + HEARTBEAT_TTL_BEATS;
         let beat = self.beat;
@@ -188,16 +189,16 @@
         self.is_connected
     }
 
-    /// Whether news of the platform reaches this daemon, by its own watch or by the watchers of
+    /// Whether updates of the platform reach this daemon, by its own watch or by the watchers of
     /// other failure domains.
     #[must_use]
-    pub fn gets_news(&self) -> bool {
+    pub fn receives_updates(&self) -> bool {
         let mut remote = self.heard_remote.values();
         self.is_connected || remote.any(|h| h.is_connected && is_recent(h, self.beat))
     }
 
-    /// A watcher in the own failure domain that gets news, to ask for it in place of a peer that
-    /// cannot be reached; `None` if one was asked a moment ago.
+    /// A watcher in the own failure domain that receives updates, to ask for them in place of a peer
+    /// that cannot be reached; `None` if one was asked within [`ASK_BEATS`].
     pub fn watcher_to_ask(&mut self) -> Option<id::HostName> {
         if self.beat < self.asked_at + ASK_BEATS {
             return None;
@@ -209,7 +210,7 @@
         Some(host)
     }
 
-    /// Whether a watcher of another failure domain has sent a heartbeat of late.
+    /// Whether a watcher of another failure domain has recently sent a heartbeat.
     #[must_use]
     pub fn hears_remote(&self, host: &id::HostName) -> bool {
         let heartbeat = self.heard_remote.get(host);
@@ -228,6 +229,8 @@
         heard.any(|h| h.is_connected && is_recent(h, self.beat))
     }
 
+    /// Applies the rules in order: assigned daemons watch; nobody takes over from a watcher that
+    /// receives updates; a few more try while no watcher does; a daemon that hears none takes over.
     fn should_watch(&self) -> bool {
         if self.is_assigned() {
             return true;
@@ -244,13 +247,13 @@
             return true;
         }
         if recent().next().is_some() {
-            let is_later = self.beat > self.served_at + BLIND_BEATS;
-            return rank
-                < if is_later {
-                    BLIND_WATCHERS_LATER
-                } else {
-                    BLIND_WATCHERS
-                };
+            let is_long = self.beat > self.served_at + LONG_OUTAGE_BEATS;
+            let watchers = if is_long {
+                LONG_OUTAGE_WATCHERS
+            } else {
+                OUTAGE_WATCHERS
+            };
+            return rank < watchers;
         }
         self.beat > self.heard_at + HEARTBEAT_TTL_BEATS + takeover_delay(rank)
     }
