Read pages of the platform with bytes that are no text

Found while reading the diff: the option of ureq that replaces such bytes holds for text/* only, so one object with them still made a whole page of JSON unreadable. Fix: the body is read as bytes and converted here. Before and after: of lists.rs the case bytes_that_are_no_text failed, it holds.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -331,12 +331,12 @@
         let status = response.status().as_u16();
         let era = self.read_era(response.headers())?;
         let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
-        // Bytes that are no text spoil the object that has them, and no other.
-        let text = body.lossy_utf8(true).read_to_string();
+        let bytes = body.read_to_vec().map_err(|err| unavailable(&err))?;
         Ok(Response {
             status,
             era,
-            body: text.map_err(|err| unavailable(&err))?,
+            // Bytes that are no text spoil the object that has them, and no other.
+            body: String::from_utf8_lossy(&bytes).into_owned(),
         })
     }
 
