State how old a daemon's news of the platform is, in logs, status and metrics

Daemons now log when no update of the platform has been able to reach them for over two seconds, with the table in force and its age, and when updates reach them again; a failed watch names the era and the revision it went on from, and the first answer after it has a line. status and three gauges have the same.

Ruled out: logging each watch (a line a second and fleet, and nothing in the case that matters, since a watch that waits has no event). No decision changes.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -190,6 +190,12 @@
         self.duty.has_taken_over()
     }
 
+    /// How long no update of the platform has been able to reach this daemon.
+    #[must_use]
+    pub fn silent_for(&self) -> Duration {
+        self.duty.silent_for()
+    }
+
     /// How long this daemon's watches wait, if it should watch the platform.
     #[must_use]
     pub fn watch_waits(&self) -> Option<Waits> {
--- a/crates/core/src/watching.rs
+++ b/crates/core/src/watching.rs
@@ -72,6 +72,9 @@
     }
 }
 
+/// Time without updates of the platform after which a change may have been missed.
+pub const SILENCE_MAX: Duration = WATCH_SPACING.saturating_mul(2);
+
 /// Latest heartbeat of a watcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Heartbeat {
@@ -96,6 +99,8 @@
     heard_at: u64,
     /// Latest beat at which a watcher that reaches the platform was known.
     served_at: u64,
+    /// Latest beat at which updates of the platform reached this daemon.
+    updated_at: u64,
     /// Beat at which a watcher was asked for updates.
     asked_at: u64,
     /// Whether this daemon's own watch reaches the platform.
@@ -113,6 +118,7 @@
             beat: 0,
             heard_at: STARTUP_BEATS,
             served_at: STARTUP_BEATS,
+            updated_at: STARTUP_BEATS,
             asked_at: 0,
             is_connected: false,
             is_watching: false,
@@ -137,9 +143,20 @@
         if is_connected || self.has_connected_watcher() {
             self.served_at = self.beat;
         }
+        if self.receives_updates() || self.has_connected_watcher() {
+            self.updated_at = self.updated_at.max(self.beat);
+        }
         self.is_watching = self.should_watch();
     }
 
+    /// How long no update of the platform has been able to reach this daemon, by its own watch or
+    /// by a watcher that it hears.
+    #[must_use]
+    pub fn silent_for(&self) -> Duration {
+        let beats = self.beat.saturating_sub(self.updated_at);
+        BEAT_INTERVAL.saturating_mul(u32::try_from(beats).unwrap_or(u32::MAX))
+    }
+
     /// Records that all objects were read from the platform.
     pub fn count_listing(&mut self) {
         self.is_connected = true;
--- a/crates/core/tests/watching.rs
+++ b/crates/core/tests/watching.rs
@@ -6,7 +6,7 @@
 
 use pollenrouter_core::id::HostName;
 use pollenrouter_core::membership::{Input, Member, Membership, Output};
-use pollenrouter_core::watching::{BEAT_INTERVAL, WATCHERS_PER_DOMAIN};
+use pollenrouter_core::watching::{self, BEAT_INTERVAL, WATCHERS_PER_DOMAIN};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -318,3 +318,21 @@
         }
     }
 }
+
+/// Guards against a daemon that seems to be told of changes while nobody can tell it.
+#[test]
+fn a_daemon_knows_how_long_nobody_could_tell_it_of_a_change() {
+    let mut fleet = Fleet::start(&SMALL);
+    let silences = |fleet: &Fleet| -> Vec<Duration> {
+        let silences = fleet.daemons.values().map(Membership::silent_for);
+        silences.collect()
+    };
+    fleet.run(SETTLED_BEATS);
+    assert!(silences(&fleet).iter().all(Duration::is_zero));
+    fleet.blind = fleet.watchers(0).into_iter().collect();
+    fleet.run(SETTLED_BEATS);
+    assert!(silences(&fleet).iter().all(|s| *s < watching::SILENCE_MAX));
+    fleet.blind = fleet.daemons.keys().cloned().collect();
+    fleet.run(SETTLED_BEATS);
+    assert!(silences(&fleet).iter().all(|s| *s > watching::SILENCE_MAX));
+}
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod departures;
 mod eras;
+pub mod freshness;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net;
@@ -99,6 +100,7 @@
     departure_replicas: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
     /// The platform's era.
     era: eras::Era,
+    freshness: freshness::Freshness,
     startup_sync: startup_sync::StartupSync,
     is_synced: bool,
     /// Crashes of targets on this host.
@@ -123,6 +125,7 @@
             gossip_addresses: BTreeMap::new(),
             departure_replicas: BTreeMap::new(),
             era: eras::Era::default(),
+            freshness: freshness::Freshness::default(),
             startup_sync: startup_sync::StartupSync::default(),
             is_synced: false,
             crash_observer: quarantine::Observer::default(),
@@ -293,6 +296,7 @@
         } else if before && !takes_over {
             info!("other watchers are heard, no longer watching the platform");
         }
+        self.log_silence();
         effects
     }
 
--- a/crates/router/src/fleet/activation.rs
+++ b/crates/router/src/fleet/activation.rs
@@ -65,6 +65,7 @@
             return;
         };
         info!(from, to; "table in force");
+        self.freshness.on_activated();
         let Some(table) = self.active_table.get().cloned() else {
             return;
         };
--- a/crates/router/src/fleet/eras.rs
+++ b/crates/router/src/fleet/eras.rs
@@ -24,6 +24,12 @@
     rounds: u32,
 }
 
+impl Era {
+    pub(super) fn number(&self) -> Option<u64> {
+        self.number
+    }
+}
+
 impl Fleet {
     /// Tells other daemons if the platform has entered a new era; most of them do not read it.
     pub(super) fn announce_era(&mut self, era: u64, effects: &mut Vec<Effect>) {
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, TextEncoder};
 
 use crate::error::Error;
+use crate::fleet::freshness;
 
 const METER_NAME: &str = "pollenrouter";
 
@@ -24,6 +25,9 @@
     starts: Counter<u64>,
     recorded_calls: Gauge<u64>,
     members: Gauge<u64>,
+    table_version: Gauge<u64>,
+    table_age: Gauge<f64>,
+    platform_silence: Gauge<f64>,
     _provider: SdkMeterProvider,
 }
 
@@ -47,6 +51,11 @@
         starts: meter.u64_counter("pollenrouter_gate_starts").build(),
         recorded_calls: meter.u64_gauge("pollenrouter_gate_remembered").build(),
         members: meter.u64_gauge("pollenrouter_members").build(),
+        table_version: meter.u64_gauge("pollenrouter_table_version").build(),
+        table_age: meter.f64_gauge("pollenrouter_table_age_seconds").build(),
+        platform_silence: meter
+            .f64_gauge("pollenrouter_platform_silence_seconds")
+            .build(),
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -104,6 +113,15 @@
         self.recorded_calls.record(recorded_calls as u64, &[]);
         self.members.record(members as u64, &[]);
     }
+
+    /// Sets the gauges for the active table and for the latest news of the platform.
+    pub fn record_freshness(&self, report: freshness::Report) {
+        let to_seconds = |millis| Duration::from_millis(millis).as_secs_f64();
+        self.table_version.record(report.table, &[]);
+        self.table_age.record(to_seconds(report.table_age_ms), &[]);
+        self.platform_silence
+            .record(to_seconds(report.silent_ms), &[]);
+    }
 }
 
 fn label_value(text: &str) -> Value {
--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -168,6 +168,7 @@
     fn watch_while_on_duty(&self, mut revision: id::Version) -> id::Version {
         let mut latest = Watched::News;
         let mut retry_delay = RETRY_DELAY;
+        let mut failing_since = None;
         self.set_connected(true);
         while let Some(waits) = self.duty.get() {
             let wait = match latest {
@@ -178,7 +179,11 @@
             (revision, latest) = self.watch(revision, wait);
             if !matches!(latest, Watched::Failure) {
                 retry_delay = RETRY_DELAY;
-            } else if started_at.elapsed() < wait {
+                log_answered(revision, failing_since.take());
+                continue;
+            }
+            failing_since.get_or_insert(started_at);
+            if started_at.elapsed() < wait {
                 thread::sleep(retry_delay);
                 retry_delay = (retry_delay * 2).min(WATCH_RETRY_DELAY_MAX);
             }
@@ -240,13 +245,23 @@
             }
             Err(err) => {
                 self.set_connected(false);
-                warn!("could not watch the platform: {err}");
+                let (era, after) = (version::era(revision), version::revision(revision));
+                warn!(era, after; "could not watch the platform: {err}");
                 (revision, Watched::Failure)
             }
         }
     }
 }
 
+/// Logs the first answer of the platform after failed watches.
+fn log_answered(at: id::Version, failing_since: Option<Instant>) {
+    if let Some(since) = failing_since {
+        let failed_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let (era, revision) = (version::era(at), version::revision(at));
+        info!(era, revision, failed_ms; "the platform answers watches again");
+    }
+}
+
 /// Whether the prefix covers service documents, which become active only after a read that
 /// is at least as new as this daemon's registration.
 fn includes_documents(prefix: &str) -> bool {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -324,6 +324,8 @@
         self.calls
             .instruments()
             .record_gauges(&hint, recorded_calls, members);
+        let freshness = self.fleet.freshness();
+        self.calls.instruments().record_freshness(freshness);
     }
 
     /// Probes the target if this daemon's share of the service's probe budget allows it.
