Read everything anew after a failed watch, before waiting again

Cause: after a failure a watcher sent its watch again from the revision that it held, as if that still meant the same. A store that has come back from a copy has given out that revision again by then (its own registrations and the operator's writes raise it); the watch is valid, brings nothing that lies below, and says so only at its end. Class: going on from a position that only an unbroken connection vouched for. Besides, at the news of an era the watcher left its own cadence (1 s at most) for that of a reader at startup, which doubles up to 4 s, so that all watchers slept in step while the store was whole.

Ruled out: shorter waits (a wait of any length starts from the wrong revision), comparing eras only (large_era: an era that cannot be read).

Now a position is lost with the connection: the next request lists, at the watchers' cadence, and the watch goes on from the listing. One call more for each watcher and outage.

--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -127,14 +127,12 @@
     tx: event::Sender,
 }
 
-/// What a watch has brought.
-enum Watched {
+/// An answer to a watch or to a listing.
+enum Answer {
     /// The wait is over without a change.
     Nothing,
     /// Changes, or all objects; other watchers get the same at the same time.
     News,
-    /// No valid response.
-    Failure,
 }
 
 impl Reader {
@@ -144,19 +142,17 @@
             thread::sleep(CONFIRM_INTERVAL);
             revision = self.list(Freshness::Current);
         }
-        let mut listed_at = Instant::now();
+        let mut read_at = Some((revision, Instant::now()));
         loop {
             if self.duty.wait(FULL_READ_INTERVAL).is_none() {
-                revision = self.list(Freshness::AllowStale);
-                listed_at = Instant::now();
+                self.list(Freshness::AllowStale);
+                read_at = None;
                 continue;
             }
             if self.sync_mode == SyncMode::Watch {
-                if listed_at.elapsed() > LISTED_RECENTLY {
-                    revision = self.list(Freshness::Current);
-                }
-                revision = self.watch_while_on_duty(revision);
-                listed_at = Instant::now();
+                let recent = read_at.filter(|(_, at)| at.elapsed() <= LISTED_RECENTLY);
+                let reached = self.watch_while_on_duty(recent.map(|(revision, _)| revision));
+                read_at = reached.map(|revision| (revision, Instant::now()));
             } else {
                 let freshness = self.wait_for_poll(version::era(revision));
                 revision = self.list(freshness);
@@ -164,33 +160,49 @@
         }
     }
 
-    /// Watches until this daemon need not any more; returns the revision that was reached.
-    fn watch_while_on_duty(&self, mut revision: id::Version) -> id::Version {
-        let mut latest = Watched::News;
-        let mut retry_delay = RETRY_DELAY;
-        let mut failing_since = None;
-        self.set_connected(true);
+    /// Watches from a revision until this daemon need not any more. `None` stands for no revision to
+    /// go on from: after a failure the platform may have come back from a copy and may have given
+    /// out the revision again, so that only a listing tells what has changed. Returns the revision
+    /// that was reached.
+    fn watch_while_on_duty(&self, mut position: Option<id::Version>) -> Option<id::Version> {
+        let mut answer = Answer::News;
+        let mut failures = Failures::default();
+        self.set_connected(position.is_some());
         while let Some(waits) = self.duty.get() {
-            let wait = match latest {
-                Watched::Nothing => waits.next,
-                Watched::News | Watched::Failure => waits.first,
+            let wait = match answer {
+                Answer::Nothing => waits.next,
+                Answer::News => waits.first,
             };
             let started_at = Instant::now();
-            (revision, latest) = self.watch(revision, wait);
-            if !matches!(latest, Watched::Failure) {
-                retry_delay = RETRY_DELAY;
-                log_answered(revision, failing_since.take());
-                continue;
-            }
-            failing_since.get_or_insert(started_at);
-            if started_at.elapsed() < wait {
-                thread::sleep(retry_delay);
-                retry_delay = (retry_delay * 2).min(WATCH_RETRY_DELAY_MAX);
+            let result = match position {
+                Some(revision) => self.watch(revision, wait),
+                None => self.try_list(Freshness::Current).map(|r| (r, Answer::News)),
+            };
+            match result {
+                Ok((revision, brought)) => {
+                    if position.is_some() {
+                        failures.end(revision);
+                    }
+                    self.set_connected(true);
+                    (position, answer) = (Some(revision), brought);
+                }
+                Err(err) => {
+                    self.log_failure(&err, position);
+                    self.set_connected(false);
+                    // A watch that outlasted its wait was silent, and has hidden enough already.
+                    let was_silent = position.is_some() && started_at.elapsed() >= wait;
+                    let delay = failures.next_delay();
+                    let is_compacted = matches!(err, PlatformError::Compacted);
+                    let is_urgent = was_silent || is_compacted;
+                    if !is_urgent {
+                        thread::sleep(delay);
+                    }
+                    (position, answer) = (None, Answer::News);
+                }
             }
-            // Else its connection was silent. It has missed enough, and the next one is new.
         }
         self.set_connected(false);
-        revision
+        position
     }
 
     /// Waits up to [`POLL_INTERVAL`], but not longer than until the platform's era has changed;
@@ -216,49 +228,90 @@
 
     /// Reads all objects; retries until it succeeds.
     fn list(&self, freshness: Freshness) -> id::Version {
-        let listing = retry("read the platform", || {
-            let listed = self.client.list(self.prefix, freshness);
-            self.set_connected(listed.is_ok() && self.duty.get().is_some());
-            listed
-        });
+        let mut delay = RETRY_DELAY;
+        loop {
+            match self.try_list(freshness) {
+                Ok(revision) => return revision,
+                Err(err) => warn!("could not read the platform: {err}"),
+            }
+            self.pause(delay);
+            delay = (delay * 2).min(RETRY_DELAY_MAX);
+        }
+    }
+
+    /// Pauses between two reads; shorter if others rely on this daemon's watch.
+    fn pause(&self, delay: Duration) {
+        if self.sync_mode != SyncMode::Watch {
+            thread::sleep(delay);
+        } else if self.duty.wait(delay).is_some() {
+            thread::sleep(delay.min(WATCH_RETRY_DELAY_MAX));
+        }
+    }
+
+    /// Reads all objects; returns the revision that they are of.
+    fn try_list(&self, freshness: Freshness) -> Result<id::Version, PlatformError> {
+        let listing = self.client.list(self.prefix, freshness);
+        self.set_connected(listing.is_ok() && self.duty.get().is_some());
+        let listing = listing?;
         let revision = listing.revision;
         event::send_blocking(&self.tx, Event::ObjectsListed(self.prefix, listing));
-        revision
+        Ok(revision)
     }
 
     /// Watches for up to `wait`; returns the revision to go on from.
-    fn watch(&self, revision: id::Version, wait: Duration) -> (id::Version, Watched) {
-        match self.client.watch(self.prefix, revision, wait) {
-            Ok(listing) => {
-                self.set_connected(true);
-                let watched = if listing.objects.is_empty() {
-                    Watched::Nothing
-                } else {
-                    event::send_blocking(&self.tx, Event::ObjectsReceived(listing.objects));
-                    Watched::News
-                };
-                (listing.revision.max(revision), watched)
-            }
-            Err(PlatformError::Compacted) => {
-                info!(prefix = self.prefix, revision = version::revision(revision); "the platform dropped its history, reading all of it");
-                (self.list(Freshness::Current), Watched::News)
-            }
-            Err(err) => {
-                self.set_connected(false);
-                let (era, after) = (version::era(revision), version::revision(revision));
-                warn!(era, after; "could not watch the platform: {err}");
-                (revision, Watched::Failure)
-            }
+    fn watch(
+        &self,
+        revision: id::Version,
+        wait: Duration,
+    ) -> Result<(id::Version, Answer), PlatformError> {
+        let listing = self.client.watch(self.prefix, revision, wait)?;
+        let answer = if listing.objects.is_empty() {
+            Answer::Nothing
+        } else {
+            event::send_blocking(&self.tx, Event::ObjectsReceived(listing.objects));
+            Answer::News
+        };
+        Ok((listing.revision, answer))
+    }
+
+    fn log_failure(&self, err: &PlatformError, position: Option<id::Version>) {
+        let Some(position) = position else {
+            warn!("could not read the platform: {err}");
+            return;
+        };
+        let (era, after) = (version::era(position), version::revision(position));
+        if matches!(err, PlatformError::Compacted) {
+            info!(prefix = self.prefix, era, after; "the platform dropped its history, reading all of it");
+        } else {
+            warn!(era, after; "could not watch the platform: {err}");
         }
     }
 }
 
-/// Logs the first answer of the platform after failed watches.
-fn log_answered(at: id::Version, failing_since: Option<Instant>) {
-    if let Some(since) = failing_since {
-        let failed_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let (era, revision) = (version::era(at), version::revision(at));
-        info!(era, revision, failed_ms; "the platform answers watches again");
+/// Failed requests since the latest watch that was answered.
+#[derive(Default)]
+struct Failures {
+    count: u32,
+    since: Option<Instant>,
+}
+
+impl Failures {
+    /// Counts a failure; returns the delay of the next request, doubled each time.
+    fn next_delay(&mut self) -> Duration {
+        let delay = RETRY_DELAY.saturating_mul(1 << self.count.min(u32::BITS - 1));
+        self.count += 1;
+        self.since.get_or_insert_with(Instant::now);
+        delay.min(WATCH_RETRY_DELAY_MAX)
+    }
+
+    /// Forgets the failures as a watch was answered, at `revision`.
+    fn end(&mut self, revision: id::Version) {
+        if let Some(since) = self.since {
+            let failed_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let (era, revision) = (version::era(revision), version::revision(revision));
+            info!(era, revision, failed_ms; "the platform answers watches again");
+        }
+        *self = Self::default();
     }
 }
 
