Tell eras apart that begin at a large number

After a restore of a platform whose eras are large, such as a time, registrations, and with them departures, that the copy lacks were never written again, and objects written in the new era were taken for old ones: DRAIN, and calls to incarnations that are over.

Cause: eras above 1,048,575, which the bits of a version can hold, counted as unreadable, so all such eras were one. Now the lowest 20 bits of an era order versions; as eras rise by one, one in a million restores looks like an era that goes back. Weighed: 128-bit versions (each object in gossip grows, all readers of versions change), a base agreed on by the fleet (needs agreement).

--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -5,14 +5,21 @@
 use crate::id::Version;
 
 const REVISION_BITS: u32 = 44;
-/// Highest era that a version can hold.
-pub const ERA_MAX: u64 = u64::MAX >> REVISION_BITS;
+/// Number of eras that versions can tell apart. Eras rise by one but may begin at any number, such
+/// as a time, so that their lowest digits order all but one in a million of them.
+const ERAS: u64 = 1 << (u64::BITS - REVISION_BITS);
 
-/// The version of a revision given out in an era; eras beyond [`ERA_MAX`] count as that one.
+/// The era of versions, for the era that the platform states.
+#[must_use]
+pub fn from_stated_era(stated: u64) -> u64 {
+    stated % ERAS
+}
+
+/// The version of a revision given out in an era, which is one of [`from_stated_era`].
 #[must_use]
 pub fn in_era(era: u64, revision: u64) -> Version {
     let revision_max = (1 << REVISION_BITS) - 1;
-    era.min(ERA_MAX) << REVISION_BITS | revision.min(revision_max)
+    from_stated_era(era) << REVISION_BITS | revision.min(revision_max)
 }
 
 /// The era in which a version was given out.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -345,8 +345,7 @@
     fn read_era(&self, headers: &HeaderMap) -> Result<u64, PlatformError> {
         let header = headers.get(self.dialect.era_header);
         let stated = header.map(|value| value.to_str().ok().and_then(|era| era.parse().ok()));
-        let stated = stated.map(|era| era.filter(|era| *era <= version::ERA_MAX));
-        let Some(era) = stated.flatten() else {
+        let Some(era) = stated.flatten().map(version::from_stated_era) else {
             if let Some(value) = header {
                 warn!(value:?; "the platform states an era that cannot be read");
             }
