--- a/crates/platform/tests/eras.rs
+++ b/crates/platform/tests/eras.rs
@@ -84,7 +84,7 @@
 #[case::largest(&[Some("18446744073709551614"), Some("18446744073709551615")])]
 fn eras_may_begin_at_any_number(#[case] eras: &'static [Option<&'static str>]) {
     let (client, _requests) = platform(eras, 7);
-    let mut version = || {
+    let version = || {
         let object = client.get(KEY).expect("object must be read");
         object.expect("object must exist").version
     };
