Follow a platform whose era goes back, and tell that from a late answer

All hosts stay at the configuration that they have for good, healthy and silent, if the platform's era is ever lower than the highest one stated: each answer counted as one that had come too late, also those to requests sent long after.

Cause: lateness was concluded from the number alone. An answer is late only if its request began before the later era was known; the client numbers its requests now.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,10 +1,9 @@
 //! HTTP client for the platform's object API.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use log::{info, warn};
+use log::warn;
 use pollenrouter_core::{id, replica, version};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -12,6 +11,7 @@
 use ureq::http::{HeaderMap, Request};
 
 use crate::dialect::{self, Dialect, Freshness, SyncMode};
+use crate::era;
 
 /// Timeout of a request. A healthy platform answers within milliseconds, so a request that
 /// takes this long is better retried than waited for.
@@ -80,8 +80,7 @@
     base_url: SmolStr,
     dialect: Dialect,
     agent: ureq::Agent,
-    /// The highest era that a response has stated; 0 if none.
-    era: Arc<AtomicU64>,
+    era: Arc<era::Tracker>,
 }
 
 impl Client {
@@ -273,10 +272,10 @@
         }
     }
 
-    /// The highest era that the platform has stated; 0 if none.
+    /// The era of the platform's latest response; 0 if none has stated one.
     #[must_use]
     pub fn era(&self) -> u64 {
-        self.era.load(Ordering::Relaxed)
+        self.era.current()
     }
 
     fn in_era(&self, era: u64, object: replica::Object) -> replica::Object {
@@ -317,6 +316,7 @@
             .method(method)
             .uri(format!("{}/{path}", self.base_url))
             .header("content-type", "application/json");
+        let number = self.era.begin();
         let response = match body {
             None => request
                 .body(())
@@ -329,7 +329,7 @@
         };
         let mut response = response.map_err(|err| unavailable(&err))?;
         let status = response.status().as_u16();
-        let era = self.read_era(response.headers())?;
+        let era = self.read_era(response.headers(), number)?;
         let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
         let bytes = body.read_to_vec().map_err(|err| unavailable(&err))?;
         Ok(Response {
@@ -340,9 +340,13 @@
         })
     }
 
-    /// The era in which the platform responded. A response that states none that can be read
-    /// counts as one of the highest era so far; one of an earlier era has come too late.
-    fn read_era(&self, headers: &HeaderMap) -> Result<u64, PlatformError> {
+    /// The era in which the platform responded to a request. A response that states none that can
+    /// be read counts as one of the current era.
+    fn read_era(
+        &self,
+        headers: &HeaderMap,
+        number: era::RequestNumber,
+    ) -> Result<u64, PlatformError> {
         let header = headers.get(self.dialect.era_header);
         let stated = header.map(|value| value.to_str().ok().and_then(|era| era.parse().ok()));
         let Some(era) = stated.flatten().map(version::from_stated_era) else {
@@ -351,15 +355,11 @@
             }
             return Ok(self.era());
         };
-        let before = self.era.fetch_max(era, Ordering::Relaxed);
-        if before > era {
-            let reason = format!("a response of era {era} came after one of era {before}");
-            return Err(PlatformError::Unavailable(reason));
-        }
-        if before < era {
-            info!(before, era; "the platform's era changed");
+        if self.era.record(era, number) {
+            return Ok(era);
         }
-        Ok(era)
+        let reason = format!("a response of era {era} came after one of a later era");
+        Err(PlatformError::Unavailable(reason))
     }
 
     fn send<T: ureq::AsSendBody>(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod client;
 pub mod dialect;
+mod era;
 pub mod object;
--- a/crates/router/src/fleet/eras.rs
+++ b/crates/router/src/fleet/eras.rs
@@ -12,6 +12,9 @@
 /// registrations that the copy has may still be on their way from the watchers.
 const CHECK_AFTER_ROUNDS: u32 = 2;
 
+/// Times that the rounds before the next check double.
+const CHECK_DOUBLINGS_MAX: u32 = 6;
+
 /// Earlier incarnations that are remembered of each host.
 const REPLACED_MAX: usize = 8;
 
@@ -20,14 +23,23 @@
 pub(super) struct Era {
     /// `None` until it is known.
     number: Option<u64>,
-    /// Rounds since it became known.
+    /// Rounds since it became known, or since the latest registration for it.
     rounds: u32,
+    /// Registrations for it.
+    registrations: u32,
 }
 
 impl Era {
     pub(super) fn number(&self) -> Option<u64> {
         self.number
     }
+
+    /// Whether to check the own registration. An era that the platform has stated by mistake is
+    /// never reached, so that registrations for it become rare.
+    fn is_check_due(&self) -> bool {
+        let doublings = self.registrations.min(CHECK_DOUBLINGS_MAX);
+        self.rounds >= CHECK_AFTER_ROUNDS << doublings
+    }
 }
 
 impl Fleet {
@@ -50,7 +62,7 @@
         if self.era.number.is_none_or(|known| known < era) {
             self.era = Era {
                 number: Some(era),
-                rounds: 0,
+                ..Era::default()
             };
         }
     }
@@ -61,7 +73,9 @@
         self.era.rounds = self.era.rounds.saturating_add(1);
         let registered_era = self.registered_at.map(version::era);
         let is_lost = registered_era.is_some() && registered_era < self.era.number;
-        if is_lost && self.era.rounds >= CHECK_AFTER_ROUNDS {
+        if is_lost && self.era.is_check_due() {
+            self.era.rounds = 0;
+            self.era.registrations += 1;
             info!(era = self.era.number.unwrap_or_default(); "the platform has lost this daemon's registration");
             self.register();
         }
--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -210,7 +210,7 @@
     fn wait_for_poll(&self, era: u64) -> Freshness {
         let checks = POLL_INTERVAL.as_millis() / RETRY_DELAY.as_millis();
         for _ in 0..checks {
-            if self.client.era() > era {
+            if self.client.era() != era {
                 return Freshness::Current;
             }
             thread::sleep(RETRY_DELAY);
