List again if a watch ends below the revision that it went on from

A platform that comes back from a copy and states no era may answer a watch from a revision that it no longer has with nothing.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -188,6 +188,9 @@
             OK if response.era == version::era(after) => {
                 let parsed = (self.dialect.parse_changes)(prefix, &response.body);
                 let changes = parsed.map_err(malformed_response)?;
+                if changes.revision < version::revision(after) {
+                    return Err(PlatformError::Compacted);
+                }
                 Ok(self.listing_in_era(response.era, changes))
             }
             OK | GONE => Err(PlatformError::Compacted),
--- a/crates/platform/tests/eras.rs
+++ b/crates/platform/tests/eras.rs
@@ -135,6 +135,18 @@
     );
 }
 
+/// Guards against a watch that goes on above what the platform has, or that skips what lies below: of a
+/// platform that states no era, only its revision tells that it has come back from a copy.
+#[test]
+fn a_watch_does_not_go_on_from_a_revision_that_the_platform_has_not_reached() {
+    let (client, _requests) = platform(&[None], 7);
+    let changes = client.watch("members/", version::in_era(0, 9), Duration::from_secs(10));
+    assert!(
+        matches!(changes, Err(PlatformError::Compacted)),
+        "{changes:?}"
+    );
+}
+
 /// Guards against an answer from before a restore that is used after it, however late it comes.
 #[test]
 fn an_answer_to_a_request_from_before_a_restore_is_not_used() {
