Resume changes after a failure where the platform states that its era is the same

A watcher listed all objects after each failure. A listing of the configuration is large in a grown fleet, and is only needed if the platform has come back from a copy or does not say. Now it reads the changes since its revision without a wait first; only an answer that states the same era proves that the revision means the same. Else it lists.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -71,6 +71,8 @@
     status: u16,
     /// Era in which it was given.
     era: u64,
+    /// Whether it states that era; else it is the current one.
+    states_era: bool,
     body: String,
 }
 
@@ -178,6 +180,27 @@
         prefix: &str,
         after: id::Version,
         wait: Duration,
+    ) -> Result<Listing, PlatformError> {
+        self.changes(prefix, after, wait, |_| true)
+    }
+
+    /// Reads the objects that changed after the revision `after`, without a wait, where requests
+    /// have failed since it was reached: the platform may have come back from a copy meanwhile, and
+    /// may have given out the revision again. Only an era that the response states rules that out.
+    ///
+    /// # Errors
+    /// Those of [`Client::watch`], with [`PlatformError::Compacted`] also if no era is stated.
+    pub fn resume(&self, prefix: &str, after: id::Version) -> Result<Listing, PlatformError> {
+        let wait = Duration::from_millis(1);
+        self.changes(prefix, after, wait, |response| response.states_era)
+    }
+
+    fn changes(
+        &self,
+        prefix: &str,
+        after: id::Version,
+        wait: Duration,
+        is_valid: impl Fn(&Response) -> bool,
     ) -> Result<Listing, PlatformError> {
         if self.era() != version::era(after) {
             return Err(PlatformError::Compacted);
@@ -185,7 +208,7 @@
         let path = (self.dialect.watch_path)(prefix, version::revision(after), wait);
         let response = self.fetch(&path, wait + WATCH_GRACE)?;
         match response.status {
-            OK if response.era == version::era(after) => {
+            OK if response.era == version::era(after) && is_valid(&response) => {
                 let parsed = (self.dialect.parse_changes)(prefix, &response.body);
                 let changes = parsed.map_err(malformed_response)?;
                 if changes.revision < version::revision(after) {
@@ -332,34 +355,34 @@
         };
         let mut response = response.map_err(|err| unavailable(&err))?;
         let status = response.status().as_u16();
-        let era = self.read_era(response.headers(), number)?;
+        let stated_era = self.read_era(response.headers(), number)?;
         let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
         let bytes = body.read_to_vec().map_err(|err| unavailable(&err))?;
         Ok(Response {
             status,
-            era,
+            era: stated_era.unwrap_or_else(|| self.era()),
+            states_era: stated_era.is_some(),
             // Bytes that are no text spoil the object that has them, and no other.
             body: String::from_utf8_lossy(&bytes).into_owned(),
         })
     }
 
-    /// The era in which the platform responded to a request. A response that states none that can
-    /// be read counts as one of the current era.
+    /// The era that the response to a request states; `None` if it states none that can be read.
     fn read_era(
         &self,
         headers: &HeaderMap,
         number: era::RequestNumber,
-    ) -> Result<u64, PlatformError> {
+    ) -> Result<Option<u64>, PlatformError> {
         let header = headers.get(self.dialect.era_header);
         let stated = header.map(|value| value.to_str().ok().and_then(|era| era.parse().ok()));
         let Some(era) = stated.flatten().map(version::from_stated_era) else {
             if let Some(value) = header {
                 warn!(value:?; "the platform states an era that cannot be read");
             }
-            return Ok(self.era());
+            return Ok(None);
         };
         if self.era.record(era, number) {
-            return Ok(era);
+            return Ok(Some(era));
         }
         let reason = format!("a response of era {era} came after one of a later era");
         Err(PlatformError::Unavailable(reason))
--- a/crates/platform/tests/eras.rs
+++ b/crates/platform/tests/eras.rs
@@ -147,6 +147,33 @@
     );
 }
 
+/// Guards against a daemon that goes on from a revision, after requests have failed, though nothing
+/// tells that it still means the same.
+#[rstest]
+#[case::same_era(&[Some("1"), Some("1")], true)]
+#[case::another_era(&[Some("1"), Some("2")], false)]
+#[case::era_not_stated(&[Some("1"), None], false)]
+#[case::eras_never_stated(&[None, None], false)]
+fn changes_are_resumed_only_in_an_era_that_is_stated(
+    #[case] eras: &'static [Option<&'static str>],
+    #[case] is_resumed: bool,
+) {
+    let (client, requests) = platform(eras, 7);
+    let after = client.get(KEY).expect("object must be read");
+    let after = after.expect("object must exist").version;
+    let resumed = client.resume("members/", after);
+    match resumed {
+        Ok(_) => assert!(is_resumed),
+        Err(PlatformError::Compacted) => assert!(!is_resumed),
+        Err(err) => panic!("platform must answer: {err}"),
+    }
+    let request = requests.try_iter().last().expect("request must arrive");
+    assert!(
+        request.starts_with("get /watch?after=7&wait_ms=1 "),
+        "{request}"
+    );
+}
+
 /// Guards against an answer from before a restore that is used after it, however late it comes.
 #[test]
 fn an_answer_to_a_request_from_before_a_restore_is_not_used() {
--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -9,7 +9,7 @@
 use pollenrouter_core::gate::target;
 use pollenrouter_core::watching::Waits;
 use pollenrouter_core::{id, replica, version};
-use pollenrouter_platform::client::{Client, PlatformError};
+use pollenrouter_platform::client::{Client, Listing, PlatformError};
 use pollenrouter_platform::dialect::{Freshness, SyncMode};
 use pollenrouter_platform::object::{self, Change, Member, MemberState, Rejections};
 use smol_str::SmolStr;
@@ -127,6 +127,26 @@
     tx: event::Sender,
 }
 
+/// What a reader has read of the platform.
+#[derive(Clone, Copy)]
+enum Position {
+    /// All changes up to a revision.
+    Reached(id::Version),
+    /// The same, but a request has failed since: the platform may have come back from a copy.
+    Doubtful(id::Version),
+    /// It has to list the objects.
+    Unknown,
+}
+
+impl Position {
+    fn after_failure(self) -> Self {
+        match self {
+            Self::Reached(revision) | Self::Doubtful(revision) => Self::Doubtful(revision),
+            Self::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// An answer to a watch or to a listing.
 enum Answer {
     /// The wait is over without a change.
@@ -142,17 +162,20 @@
             thread::sleep(CONFIRM_INTERVAL);
             revision = self.list(Freshness::Current);
         }
-        let mut read_at = Some((revision, Instant::now()));
+        let mut position = Position::Reached(revision);
+        let mut read_at = Instant::now();
         loop {
             if self.duty.wait(FULL_READ_INTERVAL).is_none() {
                 self.list(Freshness::AllowStale);
-                read_at = None;
+                position = Position::Unknown;
                 continue;
             }
             if self.sync_mode == SyncMode::Watch {
-                let recent = read_at.filter(|(_, at)| at.elapsed() <= LISTED_RECENTLY);
-                let reached = self.watch_while_on_duty(recent.map(|(revision, _)| revision));
-                read_at = reached.map(|revision| (revision, Instant::now()));
+                if read_at.elapsed() > LISTED_RECENTLY {
+                    position = Position::Unknown;
+                }
+                position = self.watch_while_on_duty(position);
+                read_at = Instant::now();
             } else {
                 let freshness = self.wait_for_poll(version::era(revision));
                 revision = self.list(freshness);
@@ -160,14 +183,12 @@
         }
     }
 
-    /// Watches from a revision until this daemon need not any more. `None` stands for no revision to
-    /// go on from: after a failure the platform may have come back from a copy and may have given
-    /// out the revision again, so that only a listing tells what has changed. Returns the revision
-    /// that was reached.
-    fn watch_while_on_duty(&self, mut position: Option<id::Version>) -> Option<id::Version> {
+    /// Watches from a position until this daemon need not any more; returns the position that was
+    /// reached.
+    fn watch_while_on_duty(&self, mut position: Position) -> Position {
         let mut answer = Answer::News;
         let mut failures = Failures::default();
-        self.set_connected(position.is_some());
+        self.set_connected(matches!(position, Position::Reached(_)));
         while let Some(waits) = self.duty.get() {
             let wait = match answer {
                 Answer::Nothing => waits.next,
@@ -175,29 +196,38 @@
             };
             let started_at = Instant::now();
             let result = match position {
-                Some(revision) => self.watch(revision, wait),
-                None => self.try_list(Freshness::Current).map(|r| (r, Answer::News)),
+                Position::Reached(revision) => self.watch(revision, wait),
+                Position::Doubtful(revision) => self.resume(revision),
+                Position::Unknown => self.list_once(Freshness::Current),
             };
             match result {
                 Ok((revision, brought)) => {
-                    if position.is_some() {
-                        failures.end(revision);
+                    match position {
+                        Position::Reached(_) => failures.end(revision),
+                        Position::Doubtful(_) => {}
+                        Position::Unknown => failures.has_listed = true,
                     }
                     self.set_connected(true);
-                    (position, answer) = (Some(revision), brought);
+                    (position, answer) = (Position::Reached(revision), brought);
                 }
                 Err(err) => {
                     self.log_failure(&err, position);
                     self.set_connected(false);
                     // A watch that outlasted its wait was silent, and has hidden enough already.
-                    let was_silent = position.is_some() && started_at.elapsed() >= wait;
+                    let was_silent =
+                        matches!(position, Position::Reached(_)) && started_at.elapsed() >= wait;
                     let delay = failures.next_delay();
                     let is_compacted = matches!(err, PlatformError::Compacted);
-                    let is_urgent = was_silent || (is_compacted && failures.is_first());
+                    let is_urgent = was_silent || (is_compacted && !failures.has_listed);
                     if !is_urgent {
                         thread::sleep(delay);
                     }
-                    (position, answer) = (None, Answer::News);
+                    position = if is_compacted {
+                        Position::Unknown
+                    } else {
+                        position.after_failure()
+                    };
+                    answer = Answer::News;
                 }
             }
         }
@@ -230,8 +260,8 @@
     fn list(&self, freshness: Freshness) -> id::Version {
         let mut delay = RETRY_DELAY;
         loop {
-            match self.try_list(freshness) {
-                Ok(revision) => return revision,
+            match self.list_once(freshness) {
+                Ok((revision, _)) => return revision,
                 Err(err) => warn!("could not read the platform: {err}"),
             }
             self.pause(delay);
@@ -249,13 +279,13 @@
     }
 
     /// Reads all objects; returns the revision that they are of.
-    fn try_list(&self, freshness: Freshness) -> Result<id::Version, PlatformError> {
+    fn list_once(&self, freshness: Freshness) -> Result<(id::Version, Answer), PlatformError> {
         let listing = self.client.list(self.prefix, freshness);
         self.set_connected(listing.is_ok() && self.duty.get().is_some());
         let listing = listing?;
         let revision = listing.revision;
         event::send_blocking(&self.tx, Event::ObjectsListed(self.prefix, listing));
-        Ok(revision)
+        Ok((revision, Answer::News))
     }
 
     /// Watches for up to `wait`; returns the revision to go on from.
@@ -264,24 +294,34 @@
         revision: id::Version,
         wait: Duration,
     ) -> Result<(id::Version, Answer), PlatformError> {
-        let listing = self.client.watch(self.prefix, revision, wait)?;
-        let answer = if listing.objects.is_empty() {
-            Answer::Nothing
-        } else {
-            event::send_blocking(&self.tx, Event::ObjectsReceived(listing.objects));
-            Answer::News
-        };
-        Ok((listing.revision, answer))
+        let changes = self.client.watch(self.prefix, revision, wait)?;
+        Ok(self.apply(changes))
+    }
+
+    /// Reads what has changed while requests failed; returns the revision to go on from.
+    fn resume(&self, revision: id::Version) -> Result<(id::Version, Answer), PlatformError> {
+        let changes = self.client.resume(self.prefix, revision)?;
+        let (revision, _) = self.apply(changes);
+        Ok((revision, Answer::News))
+    }
+
+    fn apply(&self, changes: Listing) -> (id::Version, Answer) {
+        let revision = changes.revision;
+        if changes.objects.is_empty() {
+            return (revision, Answer::Nothing);
+        }
+        event::send_blocking(&self.tx, Event::ObjectsReceived(changes.objects));
+        (revision, Answer::News)
     }
 
-    fn log_failure(&self, err: &PlatformError, position: Option<id::Version>) {
-        let Some(position) = position else {
+    fn log_failure(&self, err: &PlatformError, position: Position) {
+        let (Position::Reached(revision) | Position::Doubtful(revision)) = position else {
             warn!("could not read the platform: {err}");
             return;
         };
-        let (era, after) = (version::era(position), version::revision(position));
+        let (era, after) = (version::era(revision), version::revision(revision));
         if matches!(err, PlatformError::Compacted) {
-            info!(prefix = self.prefix, era, after; "the platform dropped its history, reading all of it");
+            info!(prefix = self.prefix, era, after; "the platform does not have this revision any more, reading all objects");
         } else {
             warn!(era, after; "could not watch the platform: {err}");
         }
@@ -293,6 +333,8 @@
 struct Failures {
     count: u32,
     since: Option<Instant>,
+    /// Whether all objects were listed meanwhile.
+    has_listed: bool,
 }
 
 impl Failures {
@@ -304,11 +346,6 @@
         delay.min(WATCH_RETRY_DELAY_MAX)
     }
 
-    /// Whether one failure has been counted.
-    fn is_first(&self) -> bool {
-        self.count == 1
-    }
-
     /// Forgets the failures as a watch was answered, at `revision`.
     fn end(&mut self, revision: id::Version) {
         if let Some(since) = self.since {
