Read the members as soon as the watch reaches the platform again

Cause, from the logs of both builds: the watch learns the era and tells the fleet, while the reader of the members sleeps for up to four seconds between two retries, so that the check two rounds later finds no registration of the new era. Class: no answer taken for a loss.

--- a/crates/router/src/platform_io.rs
+++ b/crates/router/src/platform_io.rs
@@ -269,12 +269,19 @@
         }
     }
 
-    /// Pauses between two reads; shorter if others rely on this daemon's watch.
+    /// Pauses between two reads, but not longer than until this daemon's watch reaches the platform
+    /// again; shorter if others rely on that watch.
     fn pause(&self, delay: Duration) {
-        if self.sync_mode != SyncMode::Watch {
-            thread::sleep(delay);
-        } else if self.duty.wait(delay).is_some() {
-            thread::sleep(delay.min(WATCH_RETRY_DELAY_MAX));
+        if self.sync_mode == SyncMode::Watch {
+            if self.duty.wait(delay).is_some() {
+                thread::sleep(delay.min(WATCH_RETRY_DELAY_MAX));
+            }
+            return;
+        }
+        let was_connected = self.duty.is_connected();
+        let paused_at = Instant::now();
+        while paused_at.elapsed() < delay && (was_connected || !self.duty.is_connected()) {
+            thread::sleep(RETRY_DELAY.min(delay));
         }
     }
 
