Split the readers of the platform from its writer

Ruled out: leaving it, as a newcomer would have to tell three things apart. Tests of the store: as before, all pass.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -23,7 +23,8 @@
 use pollenrouter_platform::client::Listing;
 use pollenrouter_platform::object::{self, Member, MemberState};
 
-use crate::platform_io::{WatchDuty, Write};
+use crate::platform_io::Write;
+use crate::platform_io::duty;
 use crate::profile::Profile;
 
 /// State that the listeners read.
@@ -74,7 +75,7 @@
     /// State that the listeners read.
     pub listener_state: SharedListenerState,
     /// Whether this daemon watches the platform.
-    pub watch_duty: Arc<WatchDuty>,
+    pub watch_duty: Arc<duty::Duty>,
     /// Whether the documents were read after this daemon's registration.
     pub confirmed: Arc<AtomicBool>,
     /// Queue of writes to the platform.
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -28,7 +28,7 @@
 use crate::event::{self, Event};
 use crate::fleet::{Fleet, SharedListenerState, SharedState};
 use crate::instruments;
-use crate::platform_io;
+use crate::platform_io::{self, duty, reader};
 use crate::profile::Profile;
 use crate::router::Router;
 use crate::routes;
@@ -104,7 +104,7 @@
     let (writes, write_commands) = mpsc::sync_channel(platform_io::WRITE_QUEUE_CAPACITY);
     let incarnation: id::Incarnation = rand::random();
     let listener_state = SharedListenerState::default();
-    let watch_duty = Arc::<platform_io::WatchDuty>::default();
+    let watch_duty = Arc::<duty::Duty>::default();
     let confirmed = Arc::new(AtomicBool::new(false));
     let (instruments, metrics) = instruments::build()?;
 
@@ -117,7 +117,7 @@
         write_commands,
         tx.clone(),
     )?;
-    platform_io::start_readers(&client, &watch_duty, &confirmed, &tx)?;
+    reader::start(&client, &watch_duty, &confirmed, &tx)?;
 
     let shared = SharedState {
         listener_state: listener_state.clone(),
