--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -5,7 +5,7 @@
 mod crashes;
 mod departures;
 mod eras;
-pub mod freshness;
+pub mod staleness;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net;
@@ -101,7 +101,7 @@
     departure_replicas: BTreeMap<replica::Key, BTreeSet<id::HostName>>,
     /// The platform's era.
     era: eras::Era,
-    freshness: freshness::Freshness,
+    staleness: staleness::Staleness,
     startup_sync: startup_sync::StartupSync,
     is_synced: bool,
     /// Crashes of targets on this host.
@@ -126,7 +126,7 @@
             gossip_addresses: BTreeMap::new(),
             departure_replicas: BTreeMap::new(),
             era: eras::Era::default(),
-            freshness: freshness::Freshness::default(),
+            staleness: staleness::Staleness::default(),
             startup_sync: startup_sync::StartupSync::default(),
             is_synced: false,
             crash_observer: quarantine::Observer::default(),
--- a/crates/router/src/fleet/activation.rs
+++ b/crates/router/src/fleet/activation.rs
@@ -65,7 +65,7 @@
             return;
         };
         info!(from, to; "table in force");
-        self.freshness.on_activated();
+        self.staleness.on_activated();
         let Some(table) = self.active_table.get().cloned() else {
             return;
         };
--- a/crates/router/src/fleet/freshness.rs
+++ b/crates/router/src/fleet/staleness.rs
@@ -1,4 +1,4 @@
-//! How current this daemon's knowledge of the platform is, for operators.
+//! How old this daemon's knowledge of the platform is, for operators.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 
 /// What is remembered between two reports.
 #[derive(Debug, Default)]
-pub(super) struct Freshness {
+pub(super) struct Staleness {
     /// When the active table became active; `None` without one.
     activated_at: Option<Duration>,
     /// Whether the current silence has been logged.
@@ -31,17 +31,17 @@
     pub era: Option<u64>,
 }
 
-impl Freshness {
+impl Staleness {
     pub(super) fn on_activated(&mut self) {
         self.activated_at = Some(clock::boot_time());
     }
 }
 
 impl Fleet {
-    /// How current this daemon's knowledge of the platform is.
+    /// How old this daemon's knowledge of the platform is.
     #[must_use]
-    pub fn freshness(&self) -> Report {
-        let activated_at = self.freshness.activated_at;
+    pub fn staleness(&self) -> Report {
+        let activated_at = self.staleness.activated_at;
         let table_age = activated_at.map(|at| clock::boot_time().saturating_sub(at));
         Report {
             table: self.active_table.get().map_or(0, |table| table.version),
@@ -51,19 +51,19 @@
         }
     }
 
-    /// Logs the begin and the end of a silence in which a change may have been missed.
+    /// Logs the beginning and the end of a silence in which a change may have been missed.
     pub(super) fn log_silence(&mut self) {
         let is_silent = self.membership.silent_for() > watching::SILENCE_MAX;
-        if is_silent == self.freshness.is_silence_logged {
+        if is_silent == self.staleness.is_silence_logged {
             return;
         }
-        self.freshness.is_silence_logged = is_silent;
+        self.staleness.is_silence_logged = is_silent;
         let Report {
             table,
             table_age_ms,
             silent_ms,
             era,
-        } = self.freshness();
+        } = self.staleness();
         if is_silent {
             warn!(table, table_age_ms, silent_ms, era:?; "no update of the platform can reach this daemon");
         } else {
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -9,7 +9,7 @@
 use prometheus::{Encoder, TextEncoder};
 
 use crate::error::Error;
-use crate::fleet::freshness;
+use crate::fleet::staleness;
 
 const METER_NAME: &str = "pollenrouter";
 
@@ -115,7 +115,7 @@
     }
 
     /// Sets the gauges for the active table and for the latest news of the platform.
-    pub fn record_freshness(&self, report: freshness::Report) {
+    pub fn record_staleness(&self, report: staleness::Report) {
         let to_seconds = |millis| Duration::from_millis(millis).as_secs_f64();
         self.table_version.record(report.table, &[]);
         self.table_age.record(to_seconds(report.table_age_ms), &[]);
--- a/crates/router/src/platform_io/reader.rs
+++ b/crates/router/src/platform_io/reader.rs
@@ -68,7 +68,7 @@
     Reached(id::Version),
     /// The same, but a request has failed since: the platform may have come back from a copy.
     Doubtful(id::Version),
-    /// It has to list the objects.
+    /// Nothing that counts: the next request lists all objects.
     Unknown,
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -328,8 +328,8 @@
         self.calls
             .instruments()
             .record_gauges(&hint, recorded_calls, members);
-        let freshness = self.fleet.freshness();
-        self.calls.instruments().record_freshness(freshness);
+        let staleness = self.fleet.staleness();
+        self.calls.instruments().record_staleness(staleness);
     }
 
     /// Probes the target if this daemon's share of the service's probe budget allows it.
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -29,7 +29,7 @@
             "watches_platform": fleet.is_watcher(),
             "stopping": stopping,
         }),
-        "platform": fleet.freshness(),
+        "platform": fleet.staleness(),
     })
 }
 
