--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
 use log::info;
@@ -46,6 +46,9 @@
     Route(Box<RouteMatch>),
     /// No route of the table with this version matches.
     NoRoute(id::Version),
+    /// The route needs a key, and no organisation of the table with this version holds the one
+    /// that the request carries.
+    UnknownKey(id::Version),
     /// The daemon has not loaded a routing table yet.
     NotReady,
 }
@@ -59,6 +62,10 @@
     pub service: id::ServiceName,
     /// Maximum size of the request body, bytes.
     pub body_bytes: u64,
+    /// Whether callers have keys, which are not forwarded.
+    pub has_keys: bool,
+    /// Organisation that holds the caller's key, if it has one.
+    pub organisation: Option<id::OrganisationName>,
 }
 
 /// Dependencies of a listener.
@@ -127,9 +134,10 @@
     let matched = match (cx.lookup)(&parsed) {
         LookupResult::Route(matched) => matched,
         LookupResult::NoRoute(table) => return refused(Refusal::NoRoute, Some(table)),
+        LookupResult::UnknownKey(table) => return refused(Refusal::UnknownKey, Some(table)),
         LookupResult::NotReady => return refused(Refusal::NotReady, None),
     };
-    let headers = forwarded_headers(cx, audience, &head.headers);
+    let headers = forwarded_headers(cx, audience, &matched, &head.headers);
     let body_max_bytes = matched.body_bytes;
     // Requests may run at the same time only if their order does not matter (RFC 9112,
     // section 9.3.2).
@@ -201,10 +209,11 @@
 
 /// The end-to-end headers to forward. The deadline header and the caller header of the request
 /// are removed. The caller header is set again if the caller runs on this host and the service
-/// of this host is known.
+/// of this host is known. Where callers have keys, the organisation takes the place of the key.
 fn forwarded_headers(
     cx: &Context,
     audience: service::Audience,
+    matched: &RouteMatch,
     headers: &hyper::HeaderMap,
 ) -> Vec<http_message::Header> {
     let mut forwarded = head::end_to_end(headers);
@@ -217,6 +226,12 @@
             service.as_bytes().to_vec(),
         ));
     }
+    if matched.has_keys {
+        let header = cx.convention.organisation_header;
+        forwarded.retain(|(name, _)| name != AUTHORIZATION.as_str() && name != header);
+        let organisation = matched.organisation.as_ref();
+        forwarded.extend(organisation.map(|name| (header.into(), name.as_bytes().to_vec())));
+    }
     forwarded
 }
 
@@ -256,6 +271,7 @@
         },
         service: matched.service,
         route: matched.route,
+        organisation: matched.organisation,
         body,
         remaining: parsed.remaining,
         waited,
--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -15,6 +15,8 @@
     pub service: id::ServiceName,
     /// Route that the request matched.
     pub route: table::Route,
+    /// Organisation that holds the caller's key, if it has one.
+    pub organisation: Option<id::OrganisationName>,
     /// Request head, with the path as it is sent to the target.
     pub head: http_message::RequestHead,
     /// Complete request body.
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
+use pollenrouter_core::organisation::KeyDigest;
 use pollenrouter_core::{call, id};
 use pollenrouter_http::convention::Convention;
 use pollenrouter_http::{head, problem};
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
+/// Scheme of the `authorization` header that carries a key (RFC 6750).
+pub const KEY_SCHEME: &str = "Bearer";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 quick_error! {
@@ -44,6 +47,8 @@
     pub depth: u8,
     /// Ticket, if the caller sends one.
     pub ticket: Option<id::Ticket>,
+    /// Digest of the caller's key, if it sends one.
+    pub key: Option<KeyDigest>,
 }
 
 impl ParsedRequest {
@@ -83,9 +88,20 @@
         } else {
             None
         },
+        key: parse_key(headers),
     })
 }
 
+/// Digest of the key that a request carries. A header of another form carries none.
+fn parse_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let credentials = headers.get(AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = credentials.split_at_checked(KEY_SCHEME.len())?;
+    let key = key.strip_prefix(b" ")?.trim_ascii();
+    scheme
+        .eq_ignore_ascii_case(KEY_SCHEME.as_bytes())
+        .then(|| KeyDigest::of(key))
+}
+
 fn parse_number<T: FromStr>(
     headers: &HeaderMap,
     name: &'static str,
--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use pollenrouter_core::call::{Refusal, UnknownReason};
 use pollenrouter_core::{http_message, id};
@@ -58,6 +58,8 @@
     let status = match refusal {
         Refusal::NoDocument | Refusal::NoRoute => StatusCode::NOT_FOUND,
         Refusal::NotPublic | Refusal::CallerNotAllowed => StatusCode::FORBIDDEN,
+        Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+        Refusal::QuotaUsed => StatusCode::TOO_MANY_REQUESTS,
         // Without `retry-after`: the request would only be refused again.
         Refusal::CrashesTargets => StatusCode::BAD_GATEWAY,
         // Without a ticket the caller did not cause the conflict.
@@ -67,7 +69,15 @@
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut response = problem::response(status, CallOutcome::NotRun, &refusal.to_string());
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static(request::KEY_SCHEME);
+        response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    }
+    let may_return = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if may_return.contains(&status) {
         let after = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
         let text = if convention.fractional_retry_after {
             format!("{:.3}", after.as_secs_f64())
--- a/crates/caller/tests/gate_refusals.rs
+++ b/crates/caller/tests/gate_refusals.rs
@@ -60,6 +60,7 @@
         routes: Vec::new(),
         limits: Limits::default(),
         probe_budget: ProbeBudget::default(),
+        cold_start: None,
     })
 }
 
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -96,10 +96,13 @@
                 attempts: 1,
                 rank: 0,
                 audience: service::Audience::Everyone,
+                is_open: false,
             },
         },
         service: "board".into(),
         body_bytes: BODY_MAX_BYTES,
+        has_keys: false,
+        organisation: None,
     }))
 }
 
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -40,7 +40,9 @@
     pub route: id::RouteName,
     /// Call depth: 0 for calls from the public, 1 and more for calls between services.
     pub depth: u8,
-    /// Priority rank of the route; 0 is the most urgent.
+    /// Organisation of the caller; empty if it has none.
+    pub organisation: id::OrganisationName,
+    /// Priority rank of the call; 0 is the most urgent.
     pub rank: u8,
     /// Time left until the deadline.
     pub remaining: Duration,
@@ -119,6 +121,10 @@
         CrashesTargets { display("the request crashes the targets that run it") }
         /// The target takes no further call in time at the rate that it has named.
         RateLimited { display("the rate limit of the target is reached") }
+        /// No organisation holds the key of the caller.
+        UnknownKey { display("no organisation holds this key") }
+        /// The organisation has used up its quota.
+        QuotaUsed { display("the quota of the organisation is used up") }
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -65,7 +65,9 @@
     pub route: id::RouteName,
     /// Call depth; 0 for calls from the public.
     pub depth: u8,
-    /// Priority rank of the route; 0 is the most urgent.
+    /// Organisation of the caller; empty if it has none.
+    pub organisation: id::OrganisationName,
+    /// Priority rank of the call; 0 is the most urgent.
     pub rank: u8,
     /// Time left until the deadline.
     pub remaining: Duration,
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -71,6 +71,7 @@
             service: request.service.clone(),
             route: request.route.clone(),
             depth: request.depth,
+            organisation: request.organisation.clone(),
             rank: request.rank,
             remaining: pending.deadline.saturating_sub(now),
             objective: pending.objective.saturating_sub(now),
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -13,6 +13,8 @@
 pub type HostName = SmolStr;
 /// Name of a failure domain.
 pub type DomainName = SmolStr;
+/// Name of an organisation, whose callers share a quota.
+pub type OrganisationName = SmolStr;
 /// Name of a route within a service document.
 pub type RouteName = SmolStr;
 /// Identity of a target, as the target reports it.
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -7,6 +7,7 @@
 
 use crate::call::Refusal;
 use crate::id;
+use crate::rate::RateLimit;
 
 /// A checked service document.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -21,6 +22,17 @@
     pub limits: Limits,
     /// Budget for probes of targets.
     pub probe_budget: ProbeBudget,
+    /// What targets bear after a cold start, if the configuration states it.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a target bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long a target stays cold after a start, unless it states otherwise.
+    pub lasts: Duration,
+    /// Calls per second that a cold target takes.
+    pub rate: RateLimit,
 }
 
 /// A route of a service and the policy for its requests.
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::id;
+use crate::organisation::Organisations;
 use crate::service::{self, Audience, Service};
 
 /// A routing table.
@@ -24,6 +25,8 @@
     pub services: BTreeMap<id::ServiceName, Service>,
     /// Limits on callers' requests and connections.
     pub caller_limits: CallerLimits,
+    /// Organisations and the keys of their callers; `None` if callers need no key.
+    pub organisations: Option<Organisations>,
 }
 
 /// A route of the table.
@@ -76,6 +79,8 @@
     pub rank: u8,
     /// Who may call.
     pub audience: Audience,
+    /// Whether callers need no key, also if there are organisations.
+    pub is_open: bool,
 }
 
 impl Table {
@@ -201,6 +206,7 @@
             attempts: route.attempts,
             rank: route.rank,
             audience: route.audience,
+            is_open: false,
         },
     }
 }
--- a/crates/core/tests/callers.rs
+++ b/crates/core/tests/callers.rs
@@ -48,6 +48,7 @@
         routes: Vec::new(),
         limits: Limits::default(),
         probe_budget: ProbeBudget::default(),
+        cold_start: None,
     };
     let caller = case.caller.map(ServiceName::new);
     assert_eq!(service.admit(caller.as_ref()), case.admitted);
--- a/crates/core/tests/model/documents.rs
+++ b/crates/core/tests/model/documents.rs
@@ -60,6 +60,7 @@
             probes_per_minute: 0,
             targets_max: 1,
         },
+        cold_start: None,
     })
 }
 
--- a/crates/core/tests/model/world.rs
+++ b/crates/core/tests/model/world.rs
@@ -127,6 +127,7 @@
             probes_per_minute: 0,
             targets_max: 1,
         },
+        cold_start: None,
     }
 }
 
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -146,6 +146,7 @@
             ..Limits::default()
         },
         probe_budget: ProbeBudget::default(),
+        cold_start: None,
     };
     gate.step(Duration::ZERO, Input::Document(document));
     gate
--- a/crates/core/tests/quarantined_calls.rs
+++ b/crates/core/tests/quarantined_calls.rs
@@ -50,6 +50,7 @@
             routes: Vec::new(),
             limits: Limits::default(),
             probe_budget: ProbeBudget::default(),
+            cold_start: None,
         }),
     );
     gate.step(
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -48,6 +48,7 @@
             routes: Vec::new(),
             limits: Limits::default(),
             probe_budget: ProbeBudget::default(),
+            cold_start: None,
         }),
     );
     gate.step(now, announced(now));
--- a/crates/core/tests/scenarios/service.rs
+++ b/crates/core/tests/scenarios/service.rs
@@ -32,5 +32,6 @@
             probes_per_minute: 0,
             targets_max: 1,
         },
+        cold_start: None,
     }
 }
--- a/crates/core/tests/table.rs
+++ b/crates/core/tests/table.rs
@@ -33,6 +33,7 @@
             attempts: 1,
             rank,
             audience: Audience::Everyone,
+            is_open: false,
         },
     }
 }
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -285,6 +285,7 @@
         routes: Vec::new(),
         limits,
         probe_budget: ProbeBudget::default(),
+        cold_start: None,
     }
 }
 
--- a/crates/core/tests/target_speed.rs
+++ b/crates/core/tests/target_speed.rs
@@ -311,6 +311,7 @@
             ..Limits::default()
         },
         probe_budget: ProbeBudget::default(),
+        cold_start: None,
     };
     gate.step(Duration::ZERO, Input::Document(document));
     gate
--- a/crates/http/src/convention.rs
+++ b/crates/http/src/convention.rs
@@ -32,6 +32,8 @@
     pub call_id_header: Option<&'static str>,
     /// Request header with the service on whose host the request originated.
     pub caller_header: &'static str,
+    /// Request header with the organisation whose key the caller sent.
+    pub organisation_header: &'static str,
     /// Whether every caller runs on the host of the daemon that it calls. If false, only
     /// callers on the internal listener do.
     pub callers_are_local: bool,
@@ -74,6 +76,7 @@
     depth_header: Some("pollenrouter-depth"),
     call_id_header: Some("pollenrouter-call"),
     caller_header: "pollenrouter-caller",
+    organisation_header: "pollenrouter-organisation",
     callers_are_local: false,
     target_header: Some("pollenrouter-target"),
     not_run_header: "target-shed",
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -46,6 +46,7 @@
         routes: routes?,
         limits: limits?,
         probe_budget: probe_budget?,
+        cold_start: None,
     })
 }
 
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -62,6 +62,7 @@
             service: call.service.clone(),
             route: call.route.name,
             depth: call.depth,
+            organisation: call.organisation.unwrap_or_default(),
             rank: policy.rank,
             // The request may have been in a buffer while the process was paused.
             remaining: remaining.saturating_sub(call.waited + self.pauses.extra_age(started_at)),
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -16,15 +16,26 @@
     let Some(route) = table.find_route(&req.host, &req.method, req.path_without_query()) else {
         return LookupResult::NoRoute(table.version);
     };
+    let organisations = table.organisations.as_ref();
+    let organisation = organisations.and_then(|o| o.holder_of(req.key?));
+    let needs_key = organisations.is_some() && !route.policy.is_open;
+    if needs_key && organisation.is_none() {
+        return LookupResult::UnknownKey(table.version);
+    }
+    let rank = organisation.and_then(|name| organisations?.get(name)?.rank);
     let Some(service) = route.pick_service(rand::random()) else {
         return LookupResult::NoRoute(table.version);
     };
     let limits = table.services.get(service).map(|service| &service.limits);
     let body_bytes = limits.map_or(u64::MAX, |limits| limits.request_bytes);
+    let mut route = route.clone();
+    route.policy.rank = rank.unwrap_or(route.policy.rank);
     LookupResult::Route(Box::new(RouteMatch {
         service: service.clone(),
         body_bytes: body_bytes.min(table.caller_limits.body_bytes),
-        route: route.clone(),
+        route,
+        has_keys: organisations.is_some(),
+        organisation: organisation.cloned(),
     }))
 }
 
