Do not take a cold target for one in a slow period

After a start of all hosts all targets are cold and report a slowness of 200 %. Traced calls went to four gates, each after a handshake with another daemon, and started 0.5 to 1.5 s late at the first one again.

While a target is cold by its own announcement, the lowest slowness that it has reported is its usual one, up to 300 %; a slow period is measured against that.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -232,7 +232,13 @@
             Input::Announced(announcement) => self.targets.apply_announcement(now, announcement),
             Input::Departed(incarnation) => self.targets.apply_departure(incarnation),
             Input::Stated(statement) => self.apply_statement(now, &statement),
-            Input::LoadReported(report) => self.speed_tracker.record_report(now, report),
+            Input::LoadReported(report) => {
+                let is_cold = self
+                    .targets
+                    .current()
+                    .is_some_and(|target| target.is_cold(now));
+                self.speed_tracker.record_report(now, report, is_cold);
+            }
             Input::LoadNotReported => self.speed_tracker.record_missing_report(now),
             Input::DeparturesLoaded => self.departures_loaded = true,
             Input::Document(document) => self.document = Some(document),
--- a/crates/core/src/gate/speed.rs
+++ b/crates/core/src/gate/speed.rs
@@ -19,6 +19,9 @@
 const SLOW_MIN: u32 = 150;
 /// Slowness of a target at its usual speed, percent.
 pub(super) const NORMAL_SLOWNESS: u32 = 100;
+/// A cold target takes longer than usual for all work. Up to this slowness, percent, that is no
+/// slow period, which would end soon; a call would be refused by one cold target after the other.
+const COLD_SLOWNESS_MAX: u32 = 300;
 /// Assumed length of a slow period. Work that loses no more time than this to a slow
 /// start gains nothing by waiting.
 const SLOW_PERIOD: Duration = Duration::from_millis(150);
@@ -31,6 +34,8 @@
     requests_load: bool,
     report: Option<(LoadReport, Duration)>,
     slow_since: Option<Duration>,
+    /// Lowest slowness that the target has reported while it is cold.
+    cold_slowness: Option<u32>,
     /// When the outstanding load request was made.
     requested_at: Option<Duration>,
     /// Consecutive load requests without a report.
@@ -44,6 +49,8 @@
 pub(super) struct Speed {
     /// Time that work takes, in percent of the usual time.
     pub(super) slowness: u32,
+    /// Slowness outside of slow periods, percent.
+    base_slowness: u32,
     /// Whether the target has been slow for so long that it may stay slow.
     pub(super) is_persistent: bool,
 }
@@ -57,14 +64,22 @@
         }
     }
 
-    pub(super) fn record_report(&mut self, now: Duration, report: LoadReport) {
+    pub(super) fn record_report(&mut self, now: Duration, report: LoadReport, is_cold: bool) {
         self.requested_at = None;
         self.missing_reports = 0;
         self.next_request_at = now;
-        self.slow_since = (report.slowness >= SLOW_MIN).then(|| self.slow_since.unwrap_or(now));
+        let lowest = self.cold_slowness.unwrap_or(COLD_SLOWNESS_MAX);
+        self.cold_slowness = is_cold.then(|| report.slowness.min(lowest));
+        let is_slow = is_slow(report.slowness, self.base_slowness());
+        self.slow_since = is_slow.then(|| self.slow_since.unwrap_or(now));
         self.report = Some((report, now));
     }
 
+    fn base_slowness(&self) -> u32 {
+        self.cold_slowness
+            .map_or(NORMAL_SLOWNESS, |cold| cold.max(NORMAL_SLOWNESS))
+    }
+
     /// Records that a load request brought no report; some targets never report.
     pub(super) fn record_missing_report(&mut self, now: Duration) {
         self.requested_at = None;
@@ -92,6 +107,7 @@
             let since = self.slow_since;
             let speed = Speed {
                 slowness: report.slowness,
+                base_slowness: self.base_slowness(),
                 is_persistent: since.is_some_and(|since| now > since + PERSISTENT_AFTER),
             };
             return (Some(speed), false);
@@ -113,15 +129,21 @@
 impl Speed {
     const NORMAL: Self = Self {
         slowness: NORMAL_SLOWNESS,
+        base_slowness: NORMAL_SLOWNESS,
         is_persistent: false,
     };
 
     pub(super) fn is_slow(self) -> bool {
-        self.slowness >= SLOW_MIN
+        is_slow(self.slowness, self.base_slowness)
     }
 
     /// Whether work of this length is best started now even if the target is slow.
     pub(super) fn allows_start(self, mean: Duration) -> bool {
-        !self.is_slow() || mean * (self.slowness - NORMAL_SLOWNESS) / NORMAL_SLOWNESS <= SLOW_PERIOD
+        let excess = self.slowness.saturating_sub(self.base_slowness);
+        !self.is_slow() || mean * excess / NORMAL_SLOWNESS <= SLOW_PERIOD
     }
 }
+
+fn is_slow(slowness: u32, base: u32) -> bool {
+    u64::from(slowness) * u64::from(NORMAL_SLOWNESS) >= u64::from(SLOW_MIN) * u64::from(base)
+}
--- a/crates/core/src/gate/target.rs
+++ b/crates/core/src/gate/target.rs
@@ -57,6 +57,13 @@
     pub(super) last_announced_at: Duration,
 }
 
+impl Target {
+    /// Whether the target is still warming up, by its own announcement.
+    pub(super) fn is_cold(&self, now: Duration) -> bool {
+        now.saturating_sub(self.first_announced_at) < self.announcement.cold_start
+    }
+}
+
 /// The targets on the gate's host: the current one and those that departed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Targets {
--- a/crates/core/tests/target_speed.rs
+++ b/crates/core/tests/target_speed.rs
@@ -288,6 +288,39 @@
     }
 }
 
+struct ColdCase {
+    cold_start: Duration,
+    /// Slowness that the target reported before, percent.
+    reported: u32,
+    slowness: u32,
+    starts: bool,
+}
+
+/// Guards against calls that one cold target after the other refuses although no other target is
+/// faster: a cold target takes longer for all its work, not for a moment.
+#[rstest]
+#[case::cold(ColdCase { cold_start: DEADLINE, reported: 200, slowness: 200, starts: true })]
+#[case::cold_and_in_a_slow_period(ColdCase { cold_start: DEADLINE, reported: 200, slowness: 1000, starts: false })]
+#[case::very_slow_from_the_start(ColdCase { cold_start: DEADLINE, reported: 1000, slowness: 1000, starts: false })]
+#[case::cold_without_effect(ColdCase { cold_start: DEADLINE, reported: 100, slowness: 200, starts: false })]
+#[case::warm(ColdCase { cold_start: Duration::ZERO, reported: 200, slowness: 200, starts: false })]
+fn a_cold_target_is_slow_only_beyond_its_coldness(#[case] case: ColdCase) {
+    let mut gate = gate(true);
+    let announcement = Announcement {
+        service: SERVICE.into(),
+        slots: SLOTS,
+        cold_start: case.cold_start,
+        ..Announcement::default()
+    };
+    gate.step(Duration::ZERO, Input::Announced(announcement));
+    let report = |slowness| Input::LoadReported(LoadReport { slowness });
+    gate.step(Duration::ZERO, report(case.reported));
+    gate.step(PERIOD, report(case.slowness));
+    let out = gate.step(PERIOD, Input::Offer(offer(1, WhenSlow::Refuse)));
+    let starts = out.iter().any(|o| matches!(o, Output::Start { .. }));
+    assert_eq!(starts, case.starts, "{out:?}");
+}
+
 fn gate(requests_load: bool) -> Gate {
     let gate = Gate::new(INCARNATION, 1 << 16);
     // The target announces itself only once, so its announcement must outlast the test.
