limits.shed: all bounds the wait of every caller's call by its objective

Cause of the late answers that remain if all ranks may be refused: under overload most calls start at the end of their bound, and the bound left only the mean service time, so about every second of those came late; retries of calls that had missed their objective waited 150 ms at up to four gates; the time before the entry counted only where callers state their time; a start at a slow target was not checked against the objective. With 'all' the bound leaves the mean plus two mean deviations and 8 ms for the way between hosts, an overdue call starts only in a free slot, entries offer it only to gates without a wait, a start is checked at the reported slowness, and unknown work counts as a quarter of the objective. Calls of services (see shedding/origin.rs) keep their deadline. 'lowest' stays the default; the existing tests pass unchanged.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -125,6 +125,8 @@
         UnknownKey { display("no organisation holds this key") }
         /// The organisation has used up its quota.
         QuotaUsed { display("the quota of the organisation is used up") }
+        /// Calls that cost callers more to refuse take the room.
+        Displaced { display("more urgent calls took the room") }
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -23,6 +23,8 @@
 use crate::hint;
 use crate::id;
 use crate::selection;
+use crate::shedding::Shed;
+use crate::shedding::origin::Origin;
 
 /// Time after the deadline for which the entry still waits for a gate's reply.
 pub const REPLY_GRACE: Duration = Duration::from_millis(100);
@@ -76,6 +78,10 @@
     /// Whether the call is refused, or queued only briefly, when it cannot meet the latency
     /// objective.
     pub sheddable: bool,
+    /// Which calls are refused when they cannot meet their latency objective.
+    pub shed: Shed,
+    /// Time since the request arrived.
+    pub waited: Duration,
     /// Time left as stated by the caller, if all callers of the route start with the same
     /// deadline: the difference shows how long the caller has been retrying.
     pub stated_remaining: Option<Duration>,
@@ -197,6 +203,8 @@
     retry_budgets: BTreeMap<id::ServiceName, bucket::RetryBudget>,
     /// Longest remaining time that callers of each route have stated.
     longest_remaining: BTreeMap<id::RouteName, Duration>,
+    /// Who calls each route, with [`Shed::All`].
+    origins: BTreeMap<id::RouteName, Origin>,
     /// When all calls end because of a planned stop.
     stops_at: Option<Duration>,
 }
@@ -216,6 +224,7 @@
             by_id: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             longest_remaining: BTreeMap::new(),
+            origins: BTreeMap::new(),
             stops_at: None,
         }
     }
--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -6,19 +6,21 @@
 use super::{Attempt, Entry, Output, Pending, Token};
 use crate::call::{self, Refusal};
 use crate::id;
+use crate::shedding::Shed;
 
 impl Pending {
     /// Longest expected wait of a further gate: the time left until the latency objective
     /// is missed or, where that does not apply, until the deadline. For the first gate
-    /// there is no limit: it decides itself whether to refuse the call.
+    /// there is no limit: it decides itself whether to refuse the call. With [`Shed::All`], a
+    /// call that has missed its objective goes only where it starts at once.
     pub(super) fn max_wait(&self, now: Duration) -> Duration {
         if self.tried.is_empty() {
             return Duration::MAX;
         }
-        let until = if self.request.sheddable && now < self.objective {
-            self.objective
-        } else {
-            self.deadline
+        let until = match (self.request.sheddable, self.request.shed) {
+            (true, Shed::All) => self.objective,
+            (true, Shed::Lowest) if now < self.objective => self.objective,
+            _ => self.deadline,
         };
         until.saturating_sub(now)
     }
--- a/crates/core/src/entry/intake.rs
+++ b/crates/core/src/entry/intake.rs
@@ -6,15 +6,19 @@
 use crate::bucket;
 use crate::call::Refusal;
 use crate::fingerprint;
+use crate::shedding::Shed;
 
 impl Entry {
-    pub(super) fn call(&mut self, now: Duration, request: Request, out: &mut Vec<Output>) {
+    pub(super) fn call(&mut self, now: Duration, mut request: Request, out: &mut Vec<Output>) {
         self.credit_retry_budget(&request);
+        if request.shed == Shed::All {
+            request.sheddable &= self.is_by_caller(&request);
+        }
         let token = request.token;
         let deadline = now + request.remaining;
         let pending = Pending {
             deadline: self.stops_at.map_or(deadline, |at| deadline.min(at)),
-            objective: now + request.objective.saturating_sub(self.time_waited(&request)),
+            objective: now + self.time_to_objective(&request),
             request,
             attempt: None,
             tried: Vec::new(),
@@ -31,6 +35,27 @@
         }
     }
 
+    fn time_to_objective(&mut self, request: &Request) -> Duration {
+        let waited = match (request.shed, request.sheddable) {
+            (Shed::Lowest, _) => self.time_waited(request),
+            // The time before the request was taken up counts too, also where nothing is stated.
+            (Shed::All, true) => self.time_waited(request).max(request.waited),
+            // A service states what is left of its own call, not how long it has retried.
+            (Shed::All, false) => request.waited,
+        };
+        request.objective.saturating_sub(waited)
+    }
+
+    /// Whether the call is made by a caller and not by another service.
+    fn is_by_caller(&mut self, request: &Request) -> bool {
+        if !request.organisation.is_empty() {
+            return true;
+        }
+        let origin = self.origins.entry(request.route.clone()).or_default();
+        origin.record(request.stated_remaining.map(|left| left + request.waited));
+        origin.has_callers()
+    }
+
     pub(super) fn ticket_refusal(&self, request: &Request) -> Option<Refusal> {
         let ticket = request.ticket.as_ref()?;
         if ticket.service != request.service {
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -8,10 +8,8 @@
 use crate::queue;
 use crate::records::{Lookup, State};
 use crate::service;
+use crate::shedding;
 
-/// Maximum wait of a call that would miss its latency objective even if it started at
-/// once. It is then refused, so that its caller can retry instead of being held.
-const OVERDUE_WAIT_MAX: Duration = Duration::from_millis(150);
 /// A slot is reserved only for calls that take at most half of the overall mean.
 const RESERVE_MEAN_RATIO: u32 = 2;
 /// A call counts as delayed once it has waited for half of its latency objective.
@@ -91,7 +89,7 @@
         {
             return Err(Refusal::QueueFull);
         }
-        let mean = self.service_times.mean(&offer.route);
+        let work = self.service_times.work(&offer.route);
         let overall_mean = self.service_times.overall_mean();
         let priority = queue::Priority {
             depth: offer.depth,
@@ -99,12 +97,19 @@
             is_long,
         };
         let wait = queue::expected_wait(&self.waiting, priority, slots, overall_mean);
-        let (max_wait, misses_objective) = max_wait(offer, mean);
+        let bound = shedding::bound(document.limits.shed, offer, work);
+        let max_wait = bound.max_wait.max(if offer.sheddable {
+            Duration::ZERO
+        } else {
+            WAIT_MIN
+        });
         let ahead = queue::count_ahead(&self.waiting, priority);
         if self.rate_wait(now, ahead) > max_wait {
             return Err(Refusal::RateLimited);
         }
-        if wait > max_wait || offer.remaining.is_zero() {
+        let has_no_slot = !slots.can_start(offer.depth, offer.rank, is_long);
+        let lacks_slot = bound.needs_free_slot && (has_no_slot || !self.waiting.is_empty());
+        if wait > max_wait || lacks_slot || offer.remaining.is_zero() {
             return Err(Refusal::Late);
         }
         Ok(queue::WaitingCall {
@@ -115,12 +120,14 @@
             is_long,
             at_most_once: offer.at_most_once,
             deadline: now + offer.remaining,
-            misses_objective,
+            misses_objective: bound.misses_objective,
             start_by: now + max_wait.max(WAIT_MIN),
+            order_by: now + bound.slack.max(WAIT_MIN),
+            late_from: bound.in_time_for.map(|time| now + time),
             delayed_from: now + offer.objective / DELAYED_FRACTION,
             when_slow: offer.when_slow,
-            recovery_wait_until: now + max_recovery_wait(offer, mean),
-            mean,
+            recovery_wait_until: now + bound.max_recovery_wait,
+            mean: work.mean,
         })
     }
 
@@ -193,29 +200,3 @@
         }
     }
 }
-
-/// Maximum time that a call waits for its target to recover: as long as another gate
-/// could still answer it within its latency objective.
-fn max_recovery_wait(offer: &call::Offer, mean: Duration) -> Duration {
-    let until_objective = offer.objective.saturating_sub(mean * 3 / 2);
-    if until_objective.is_zero() {
-        OVERDUE_WAIT_MAX.min(offer.remaining.saturating_sub(mean))
-    } else {
-        until_objective
-    }
-}
-
-/// Maximum time that a call waits for a slot, and whether it misses its latency objective
-/// even if it starts at once.
-fn max_wait(offer: &call::Offer, mean: Duration) -> (Duration, bool) {
-    let until_deadline = offer.remaining.saturating_sub(mean);
-    if !offer.sheddable {
-        return (until_deadline.max(WAIT_MIN), false);
-    }
-    let until_objective = offer.objective.saturating_sub(mean).min(until_deadline);
-    if until_objective.is_zero() {
-        (until_deadline.min(OVERDUE_WAIT_MAX), true)
-    } else {
-        (until_objective, false)
-    }
-}
--- a/crates/core/src/gate/dispatch.rs
+++ b/crates/core/src/gate/dispatch.rs
@@ -56,7 +56,8 @@
         let is_refused = |w: &queue::WaitingCall| match w.when_slow {
             WhenSlow::Refuse => true,
             WhenSlow::Wait => {
-                !speed.allows_start(w.mean) && (speed.is_persistent || now >= w.recovery_wait_until)
+                let may_start = speed.allows_start(w.mean) && is_in_time(now, w, speed);
+                !may_start && (speed.is_persistent || now >= w.recovery_wait_until)
             }
             WhenSlow::Start => false,
         };
@@ -81,9 +82,17 @@
         let may_start = |w: &queue::WaitingCall| {
             speed.allows_start(w.mean) || w.when_slow == WhenSlow::Start && speed.is_persistent
         };
+        // A call that comes late at this speed starts only if no other does.
+        let may_start_in_time = |w: &queue::WaitingCall| is_in_time(now, w, speed) && may_start(w);
+        let may_start_late =
+            |w: &queue::WaitingCall| w.when_slow == WhenSlow::Start && speed.is_persistent;
+        let next = |gate: &Self| {
+            let slots = gate.slots(now);
+            queue::next_to_start(&gate.waiting, slots, now, may_start_in_time)
+                .or_else(|| queue::next_to_start(&gate.waiting, slots, now, may_start_late))
+        };
         while self.rate_wait(now, 0).is_zero()
-            && let Some(index) =
-                queue::next_to_start(&self.waiting, self.slots(now), now, may_start)
+            && let Some(index) = next(self)
         {
             self.record_paced_start(now);
             let w = self.waiting.remove(index);
@@ -106,3 +115,9 @@
         }
     }
 }
+
+/// Whether the answer of a call that starts now is expected in time, where that matters.
+fn is_in_time(now: Duration, w: &queue::WaitingCall, speed: speed::Speed) -> bool {
+    w.late_from
+        .is_none_or(|late_from| now + speed.scale(w.mean) <= late_from)
+}
--- a/crates/core/src/gate/speed.rs
+++ b/crates/core/src/gate/speed.rs
@@ -120,6 +120,11 @@
         self.slowness >= SLOW_MIN
     }
 
+    /// Time that work takes at this speed; at least its usual time.
+    pub(super) fn scale(self, mean: Duration) -> Duration {
+        mean * self.slowness.max(NORMAL_SLOWNESS) / NORMAL_SLOWNESS
+    }
+
     /// Whether work of this length is best started now even if the target is slow.
     pub(super) fn allows_start(self, mean: Duration) -> bool {
         !self.is_slow() || mean * (self.slowness - NORMAL_SLOWNESS) / NORMAL_SLOWNESS <= SLOW_PERIOD
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod selection;
 pub mod service;
 pub mod service_times;
+pub mod shedding;
 pub mod startup_sync;
 pub mod table;
 pub mod version;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -26,6 +26,10 @@
     pub misses_objective: bool,
     /// When it is refused unless it has started.
     pub start_by: Duration,
+    /// Among calls that are equal otherwise, the one with the earliest such time starts first.
+    pub order_by: Duration,
+    /// When its answer is late; `None` if it is not refused for that.
+    pub late_from: Option<Duration>,
     /// When its wait starts to count as a delay.
     pub delayed_from: Duration,
     /// What the gate does with it while the target is slow.
@@ -45,7 +49,7 @@
             self.rank,
             self.misses_objective,
             yields_to_short,
-            self.start_by,
+            self.order_by,
         )
     }
 }
@@ -92,7 +96,7 @@
 
 /// Index of the call to start next: internal before public, then by rank, calls that can
 /// meet their latency objective before those that cannot, short before long unless the
-/// deadline is near, then by the latest start. Skips calls that `may_start` rejects.
+/// deadline is near, then by the least slack. Skips calls that `may_start` rejects.
 #[must_use]
 pub fn next_to_start(
     waiting: &[WaitingCall],
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -8,6 +8,7 @@
 use crate::call::Refusal;
 use crate::id;
 use crate::rate::RateLimit;
+use crate::shedding::Shed;
 
 /// A checked service document.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -106,6 +107,9 @@
     /// Slots that are open from the beginning of a target's cold start, in percent of the
     /// used ones; further slots open in proportion to the elapsed time.
     pub cold_percent: u32,
+    /// Which calls are refused when they cannot meet their latency objective.
+    #[serde(default)]
+    pub shed: Shed,
 }
 
 /// Budget for probes of a service's targets.
@@ -129,6 +133,7 @@
             retry_slack: 60,
             slot_percent: 100,
             cold_percent: 0,
+            shed: Shed::Lowest,
         }
     }
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -12,6 +12,7 @@
 use crate::id;
 use crate::organisation::Organisations;
 use crate::service::{self, Audience, Service};
+use crate::shedding::Shed;
 
 /// A routing table.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -93,6 +94,19 @@
         let last_rank = self.routes.iter().map(|route| route.policy.rank).max();
         policy.has_uniform_deadline && last_rank.is_none_or(|last| policy.rank >= last)
     }
+
+    /// Whether a call may be refused when it cannot meet the latency objective. With
+    /// [`Shed::All`] that holds for every rank; the entry excepts the calls of other services
+    /// that it recognises. Where callers have keys, a call without one is made by a service.
+    #[must_use]
+    pub fn may_shed(&self, shed: Shed, policy: &Policy, has_organisation: bool) -> bool {
+        match shed {
+            Shed::Lowest => self.is_sheddable(policy),
+            Shed::All => {
+                policy.has_uniform_deadline && (self.organisations.is_none() || has_organisation)
+            }
+        }
+    }
 }
 
 /// Limits on callers' requests and connections.
--- /dev/null
+++ b/crates/core/tests/shedding/main.rs
@@ -0,0 +1,6 @@
+//! Loads above the capacity of a target: what callers get with each setting of `limits.shed`.
+
+mod entry;
+mod load;
+mod origin;
+mod overload;
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pollenrouter_core::service::{Audience, Limits, ProbeBudget, Route, Service, Size};
+use pollenrouter_core::shedding::Shed;
 
 use crate::finding::Finding;
 use crate::yaml::{self, FieldReader};
@@ -119,6 +120,8 @@
     let slack = f.integer("retry_slack", 0..=100_000, Some(default.retry_slack.into()));
     let cold = f.integer("cold_percent", 0..=100, Some(default.cold_percent.into()));
     let slots = f.integer("slot_percent", 1..=100, Some(default.slot_percent.into()));
+    let sheds = [("lowest", Shed::Lowest), ("all", Shed::All)];
+    let shed = f.one_of("shed", &sheds, Some(default.shed));
     Some(Limits {
         queue: saturating_u32(queue?),
         depth_levels: u8::try_from(levels?).ok()?,
@@ -129,6 +132,7 @@
         retry_slack: saturating_u32(slack?),
         slot_percent: saturating_u32(slots?),
         cold_percent: saturating_u32(cold?),
+        shed: shed?,
     })
 }
 
--- a/crates/operator/tests/findings.rs
+++ b/crates/operator/tests/findings.rs
@@ -1,5 +1,6 @@
 //! Settings and documents with mistakes: every mistake is reported with its position.
 
+use pollenrouter_core::shedding::Shed;
 use pollenrouter_operator::{document, settings};
 use rstest::rstest;
 
@@ -149,3 +150,23 @@
     let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
     assert_eq!(findings, [finding]);
 }
+
+/// Guards against a daemon that sheds calls of all ranks without being told to.
+#[rstest]
+#[case::not_stated("", Ok(Shed::Lowest))]
+#[case::lowest("limits: {shed: lowest}\n", Ok(Shed::Lowest))]
+#[case::all("limits: {shed: all}\n", Ok(Shed::All))]
+#[case::unknown(
+    "limits: {shed: some}\n",
+    Err("1:16: field `limits.shed` is `some` where one of lowest, all is expected")
+)]
+fn only_the_lowest_rank_is_shed_unless_stated(
+    #[case] limits: &str,
+    #[case] expected: Result<Shed, &str>,
+) {
+    let example = include_str!("../../../examples/settings.yaml");
+    let read = settings::check(&format!("{limits}{example}"));
+    let shed = read.map(|settings| settings.limits.shed);
+    let shed = shed.map_err(|findings| findings[0].to_string());
+    assert_eq!(shed, expected.map_err(ToOwned::to_owned));
+}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -12,6 +12,7 @@
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
 use pollenrouter_core::gate::statement::Statement;
+use pollenrouter_core::shedding::Shed;
 use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine, service};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
@@ -119,6 +120,8 @@
     pub retry_slack: u32,
     /// Whether to reject the call if it cannot meet its latency objective.
     pub sheddable: bool,
+    /// Which calls of the service are rejected in that case.
+    pub shed: Shed,
 }
 
 impl Calls {
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -42,6 +42,7 @@
             retry_percent,
             retry_slack,
             sheddable,
+            shed,
         } = routed_call;
         let fingerprint = fingerprint::of(&call.head, &call.body, self.caller_header);
         // The gate that a ticket names may have the answer to an earlier attempt.
@@ -68,6 +69,8 @@
             remaining: remaining.saturating_sub(call.waited + self.pauses.extra_age(started_at)),
             objective: policy.objective,
             sheddable,
+            shed,
+            waited: call.waited,
             stated_remaining: call
                 .remaining
                 .filter(|_| policy.has_uniform_deadline)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,6 +10,7 @@
 use pollenrouter_core::gate::Outcome;
 use pollenrouter_core::gate::statement::{StatedRate, Statement};
 use pollenrouter_core::gate::target::TargetIncarnation;
+use pollenrouter_core::shedding::Shed;
 use pollenrouter_core::{bucket, id, membership};
 use pollenrouter_daemon::message as daemon;
 use pollenrouter_platform::object::MemberState;
@@ -133,10 +134,14 @@
                 let limits = document.map(|document| &document.limits);
                 let (retry_percent, retry_slack) =
                     limits.map_or((0, 0), |limits| (limits.retry_percent, limits.retry_slack));
+                let shed = limits.map_or_else(Shed::default, |limits| limits.shed);
                 match routes::admit(table, self.service.as_ref(), &call) {
                     Ok(()) => self.calls.start_call(RoutedCall {
-                        sheddable: table
-                            .is_some_and(|table| table.is_sheddable(&call.route.policy)),
+                        sheddable: table.is_some_and(|table| {
+                            let has_organisation = call.organisation.is_some();
+                            table.may_shed(shed, &call.route.policy, has_organisation)
+                        }),
+                        shed,
                         call,
                         retry_percent,
                         retry_slack,
