shed: all lets a newcomer take the place of the waiting call that costs least

Before, a gate refused a newcomer by its own expected wait only; calls of lower ranks that it pushed back stayed until their bound and were refused then. Now a call that joins is planned with those that wait, in the order in which they start (rank, objective can be met, least slack). Not tried: refusing waiting calls before the newcomer in that order, and planning at the slowness of the moment. Counter pollenrouter_refusals_total by reason and rank. 'lowest' takes the code path it took.

--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -8,7 +8,7 @@
 use crate::queue;
 use crate::records::{Lookup, State};
 use crate::service;
-use crate::shedding;
+use crate::shedding::{self, Shed, plan};
 
 /// A slot is reserved only for calls that take at most half of the overall mean.
 const RESERVE_MEAN_RATIO: u32 = 2;
@@ -58,11 +58,39 @@
                     self.records
                         .set(id, State::Waiting, Some(offer.fingerprint));
                     self.waiting.push(waiting);
+                    if self.shed() == Shed::All {
+                        self.refuse_without_room(now, out);
+                    }
                 }
             },
         }
     }
 
+    fn shed(&self) -> Shed {
+        let document = self.document.as_ref();
+        document.map_or_else(Shed::default, |document| document.limits.shed)
+    }
+
+    /// Refuses the calls for which there is no room since the last one of the queue joined.
+    fn refuse_without_room(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let limits = self.document.as_ref().map(|document| &document.limits);
+        let room = plan::Room {
+            now,
+            slots: self.slots(now),
+            mean: self.service_times.overall_mean(),
+            queue: limits.map_or(0, |limits| limits.queue),
+            rate_wait: &|ahead| self.rate_wait(now, ahead),
+        };
+        let refused = plan::refused(&self.waiting, &room);
+        for (index, refusal) in refused.into_iter().rev() {
+            let w = self.waiting.remove(index);
+            if refusal == Refusal::Late {
+                self.record_delay(now, &w.route, w.rank);
+            }
+            self.refuse(w.id, refusal, None, out);
+        }
+    }
+
     fn admit(&self, now: Duration, offer: &call::Offer) -> Result<queue::WaitingCall, Refusal> {
         if self.is_quarantined(offer.fingerprint) {
             return Err(Refusal::CrashesTargets);
@@ -81,35 +109,24 @@
         }
         let configured_size = route.map_or(service::Size::Learned, |r| r.size);
         let is_long = self.service_times.is_long(&offer.route, configured_size);
-        let same_class = |w: &&queue::WaitingCall| (w.depth == 0) == (offer.depth == 0);
-        let queued = self.waiting.iter().filter(same_class).count();
-        let slots = self.slots(now);
-        if saturating_u32(queued) >= document.limits.queue
-            && !slots.can_start(offer.depth, offer.rank, is_long)
-        {
-            return Err(Refusal::QueueFull);
-        }
-        let work = self.service_times.work(&offer.route);
-        let overall_mean = self.service_times.overall_mean();
         let priority = queue::Priority {
             depth: offer.depth,
             rank: offer.rank,
             is_long,
         };
-        let wait = queue::expected_wait(&self.waiting, priority, slots, overall_mean);
+        let work = self.service_times.work(&offer.route);
         let bound = shedding::bound(document.limits.shed, offer, work);
         let max_wait = bound.max_wait.max(if offer.sheddable {
             Duration::ZERO
         } else {
             WAIT_MIN
         });
-        let ahead = queue::count_ahead(&self.waiting, priority);
-        if self.rate_wait(now, ahead) > max_wait {
-            return Err(Refusal::RateLimited);
+        match document.limits.shed {
+            Shed::Lowest => self.check_room(now, &document.limits, priority, max_wait)?,
+            // Whether there is room is planned with the calls that wait.
+            Shed::All => {}
         }
-        let has_no_slot = !slots.can_start(offer.depth, offer.rank, is_long);
-        let lacks_slot = bound.needs_free_slot && (has_no_slot || !self.waiting.is_empty());
-        if wait > max_wait || lacks_slot || offer.remaining.is_zero() {
+        if offer.remaining.is_zero() {
             return Err(Refusal::Late);
         }
         Ok(queue::WaitingCall {
@@ -131,6 +148,36 @@
         })
     }
 
+    /// Checks whether a call that joins the queue starts in time behind the calls that wait.
+    fn check_room(
+        &self,
+        now: Duration,
+        limits: &service::Limits,
+        priority: queue::Priority,
+        max_wait: Duration,
+    ) -> Result<(), Refusal> {
+        let queue::Priority {
+            depth,
+            rank,
+            is_long,
+        } = priority;
+        let same_class = |w: &&queue::WaitingCall| (w.depth == 0) == (depth == 0);
+        let queued = self.waiting.iter().filter(same_class).count();
+        let slots = self.slots(now);
+        if saturating_u32(queued) >= limits.queue && !slots.can_start(depth, rank, is_long) {
+            return Err(Refusal::QueueFull);
+        }
+        let ahead = queue::count_ahead(&self.waiting, priority);
+        if self.rate_wait(now, ahead) > max_wait {
+            return Err(Refusal::RateLimited);
+        }
+        let mean = self.service_times.overall_mean();
+        if queue::expected_wait(&self.waiting, priority, slots, mean) > max_wait {
+            return Err(Refusal::Late);
+        }
+        Ok(())
+    }
+
     /// Why the gate accepts no calls at present, if so.
     pub(super) fn current_refusal(&self, now: Duration) -> Option<Refusal> {
         if !self.departures_loaded {
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -41,7 +41,10 @@
 }
 
 impl WaitingCall {
-    fn start_order(&self, now: Duration) -> (bool, u8, bool, bool, Duration) {
+    /// The call with the lowest order starts first. Among calls that cannot all start in time,
+    /// the one with the highest order costs callers least to refuse.
+    #[must_use]
+    pub fn start_order(&self, now: Duration) -> (bool, u8, bool, bool, Duration) {
         let is_near_deadline = now + self.mean * 2 >= self.deadline;
         let yields_to_short = self.is_long && !is_near_deadline;
         (
--- a/crates/core/src/shedding.rs
+++ b/crates/core/src/shedding.rs
@@ -3,6 +3,7 @@
 //! Every function is pure; gates and entries use them wherever a call can wait.
 
 pub mod origin;
+pub mod plan;
 
 use std::time::Duration;
 
@@ -44,8 +45,6 @@
     pub slack: Duration,
     /// Whether its answer misses the latency objective however soon it starts.
     pub misses_objective: bool,
-    /// Whether it is refused unless a slot is free.
-    pub needs_free_slot: bool,
     /// Time until which its answer is in time; `None` if it is not refused for its objective.
     pub in_time_for: Option<Duration>,
     /// Time for which it waits for a slow target to recover, as long as another gate could
@@ -76,7 +75,6 @@
         max_wait,
         slack: max_wait,
         misses_objective,
-        needs_free_slot: false,
         in_time_for: None,
         max_recovery_wait: if recovery.is_zero() {
             OVERDUE_WAIT_MAX.min(until_deadline)
@@ -112,7 +110,6 @@
         max_wait,
         slack,
         misses_objective,
-        needs_free_slot: misses_objective,
         in_time_for: (offer.sheddable && !misses_objective).then_some(objective),
         max_recovery_wait: if offer.sheddable {
             recovery.min(max_wait)
--- a/crates/core/tests/shedding/load.rs
+++ b/crates/core/tests/shedding/load.rs
@@ -70,6 +70,8 @@
     pub refused: u64,
     pub displaced: u64,
     pub slowest_refusal: Duration,
+    /// Time that refused calls have waited, in total.
+    pub refusal_time: Duration,
 }
 
 struct Arrival {
@@ -179,6 +181,7 @@
                 self.refused += 1;
                 self.displaced += u64::from(reply == Reply::NotRun(Refusal::Displaced));
                 self.slowest_refusal = self.slowest_refusal.max(took);
+                self.refusal_time += took;
             }
         }
     }
@@ -192,6 +195,7 @@
             refused: self.refused + other.refused,
             displaced: self.displaced + other.displaced,
             slowest_refusal: self.slowest_refusal.max(other.slowest_refusal),
+            refusal_time: self.refusal_time + other.refusal_time,
         }
     }
 }
--- a/crates/core/tests/shedding/main.rs
+++ b/crates/core/tests/shedding/main.rs
@@ -4,3 +4,4 @@
 mod load;
 mod origin;
 mod overload;
+mod plan;
--- a/crates/core/tests/shedding/overload.rs
+++ b/crates/core/tests/shedding/overload.rs
@@ -137,3 +137,25 @@
     assert_eq!(counts[0].refused, 0, "{counts:?}");
     assert!(counts[1].refused > 0, "{counts:?}");
 }
+
+/// A burst of urgent calls meets a queue of less urgent ones.
+#[test]
+fn urgent_calls_displace_those_that_wait() {
+    let steady = Source {
+        route: "rank-1",
+        rank: 1,
+        rate: capacity_per_s() * 1.1,
+        ..CALLER
+    };
+    let burst = Source {
+        rate: capacity_per_s() * 0.9,
+        from: LASTS / 2,
+        until: LASTS / 2 + Duration::from_secs(2),
+        ..CALLER
+    };
+    let counts = load::play(&Site::new(Shed::All), &[steady, burst]);
+    // The room suffices for the urgent calls, so none of them is refused or late.
+    assert_eq!(counts[1].in_time, counts[1].arrived, "{counts:?}");
+    assert!(counts[0].displaced > 0, "{counts:?}");
+    assert!(counts[0].slowest_refusal < OBJECTIVE, "{counts:?}");
+}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -50,6 +50,7 @@
     request_id: SmolStr,
     service: id::ServiceName,
     route: id::RouteName,
+    rank: u8,
     started_at: Duration,
     /// Failure that a target answered with, kept while another target is tried.
     failure_answer: Option<Answer>,
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -26,6 +26,10 @@
         let reason = refusal.to_string();
         self.instruments
             .count_call(&call.service, outcome, &reason, Duration::ZERO);
+        if call.ticket.is_none() {
+            let rank = call.route.policy.rank;
+            self.instruments.count_refusal(&reason, rank);
+        }
         let result = CallerResult {
             kind,
             ticket: call.ticket,
@@ -87,6 +91,7 @@
         let pending_call = PendingCall {
             request_id,
             route: request.route.clone(),
+            rank: request.rank,
             request: Request {
                 head: call.head,
                 body: call.body,
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -115,6 +115,9 @@
         }
         self.instruments
             .count_call(&call.service, outcome, &reason, elapsed);
+        if matches!(kind, CallerResultKind::NotRun(_)) {
+            self.instruments.count_refusal(&reason, call.rank);
+        }
         let retry_after = matches!(kind, CallerResultKind::NotRun(_))
             .then(|| self.entry.retry_after(now, &call.service));
         // The send fails if the caller has disconnected.
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -17,6 +17,7 @@
 pub struct Instruments {
     calls: Counter<u64>,
     call_duration: Histogram<f64>,
+    refusals: Counter<u64>,
     probes: Counter<u64>,
     running: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -43,6 +44,7 @@
     let instruments = Instruments {
         calls: meter.u64_counter("pollenrouter_calls").build(),
         call_duration: meter.f64_histogram("pollenrouter_call_seconds").build(),
+        refusals: meter.u64_counter("pollenrouter_refusals").build(),
         probes: meter.u64_counter("pollenrouter_probes").build(),
         running: meter.u64_gauge("pollenrouter_gate_running").build(),
         waiting: meter.u64_gauge("pollenrouter_gate_waiting").build(),
@@ -89,6 +91,15 @@
             .record(duration.as_secs_f64(), &labels[..2]);
     }
 
+    /// Counts a call that was refused, by the rank of the call.
+    pub fn count_refusal(&self, reason: &str, rank: u8) {
+        let labels = [
+            KeyValue::new("reason", label_value(reason)),
+            KeyValue::new("rank", i64::from(rank)),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
     /// Counts a probe of the target.
     pub fn count_probe(&self) {
         self.probes.add(1, &[]);
