--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -8,10 +8,8 @@
 use crate::queue;
 use crate::records::{Lookup, State};
 use crate::service;
+use crate::shedding::{self, Shed, plan};
 
-/// Maximum wait of a call that would miss its latency objective even if it started at
-/// once. It is then refused, so that its caller can retry instead of being held.
-const OVERDUE_WAIT_MAX: Duration = Duration::from_millis(150);
 /// A slot is reserved only for calls that take at most half of the overall mean.
 const RESERVE_MEAN_RATIO: u32 = 2;
 /// A call counts as delayed once it has waited for half of its latency objective.
@@ -60,11 +58,39 @@
                     self.records
                         .set(id, State::Waiting, Some(offer.fingerprint));
                     self.waiting.push(waiting);
+                    if self.shed() == Shed::All {
+                        self.refuse_without_room(now, out);
+                    }
                 }
             },
         }
     }
 
+    fn shed(&self) -> Shed {
+        let document = self.document.as_ref();
+        document.map_or_else(Shed::default, |document| document.limits.shed)
+    }
+
+    /// Refuses the calls for which there is no room since the last one of the queue joined.
+    fn refuse_without_room(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let limits = self.document.as_ref().map(|document| &document.limits);
+        let room = plan::Room {
+            now,
+            slots: self.slots(now),
+            mean: self.service_times.overall_mean(),
+            queue: limits.map_or(0, |limits| limits.queue),
+            rate_wait: &|ahead| self.rate_wait(now, ahead),
+        };
+        let refused = plan::refused(&self.waiting, &room);
+        for (index, refusal) in refused.into_iter().rev() {
+            let w = self.waiting.remove(index);
+            if refusal == Refusal::Late {
+                self.record_delay(now, &w.route, w.rank);
+            }
+            self.refuse(w.id, refusal, None, out);
+        }
+    }
+
     fn admit(&self, now: Duration, offer: &call::Offer) -> Result<queue::WaitingCall, Refusal> {
         if self.is_quarantined(offer.fingerprint) {
             return Err(Refusal::CrashesTargets);
@@ -83,28 +109,24 @@
         }
         let configured_size = route.map_or(service::Size::Learned, |r| r.size);
         let is_long = self.service_times.is_long(&offer.route, configured_size);
-        let same_class = |w: &&queue::WaitingCall| (w.depth == 0) == (offer.depth == 0);
-        let queued = self.waiting.iter().filter(same_class).count();
-        let slots = self.slots(now);
-        if saturating_u32(queued) >= document.limits.queue
-            && !slots.can_start(offer.depth, offer.rank, is_long)
-        {
-            return Err(Refusal::QueueFull);
-        }
-        let mean = self.service_times.mean(&offer.route);
-        let overall_mean = self.service_times.overall_mean();
         let priority = queue::Priority {
             depth: offer.depth,
             rank: offer.rank,
             is_long,
         };
-        let wait = queue::expected_wait(&self.waiting, priority, slots, overall_mean);
-        let (max_wait, misses_objective) = max_wait(offer, mean);
-        let ahead = queue::count_ahead(&self.waiting, priority);
-        if self.rate_wait(now, ahead) > max_wait {
-            return Err(Refusal::RateLimited);
-        }
-        if wait > max_wait || offer.remaining.is_zero() {
+        let work = self.service_times.work(&offer.route);
+        let bound = shedding::bound(document.limits.shed, offer, work);
+        let max_wait = bound.max_wait.max(if offer.sheddable {
+            Duration::ZERO
+        } else {
+            WAIT_MIN
+        });
+        match document.limits.shed {
+            Shed::Lowest => self.check_room(now, &document.limits, priority, max_wait)?,
+            // Whether there is room is planned with the calls that wait.
+            Shed::All => {}
+        }
+        if offer.remaining.is_zero() {
             return Err(Refusal::Late);
         }
         Ok(queue::WaitingCall {
@@ -115,15 +137,47 @@
             is_long,
             at_most_once: offer.at_most_once,
             deadline: now + offer.remaining,
-            misses_objective,
+            misses_objective: bound.misses_objective,
             start_by: now + max_wait.max(WAIT_MIN),
+            order_by: now + bound.slack.max(WAIT_MIN),
+            late_from: bound.in_time_for.map(|time| now + time),
             delayed_from: now + offer.objective / DELAYED_FRACTION,
             when_slow: offer.when_slow,
-            recovery_wait_until: now + max_recovery_wait(offer, mean),
-            mean,
+            recovery_wait_until: now + bound.max_recovery_wait,
+            mean: work.mean,
         })
     }
 
+    /// Checks whether a call that joins the queue starts in time behind the calls that wait.
+    fn check_room(
+        &self,
+        now: Duration,
+        limits: &service::Limits,
+        priority: queue::Priority,
+        max_wait: Duration,
+    ) -> Result<(), Refusal> {
+        let queue::Priority {
+            depth,
+            rank,
+            is_long,
+        } = priority;
+        let same_class = |w: &&queue::WaitingCall| (w.depth == 0) == (depth == 0);
+        let queued = self.waiting.iter().filter(same_class).count();
+        let slots = self.slots(now);
+        if saturating_u32(queued) >= limits.queue && !slots.can_start(depth, rank, is_long) {
+            return Err(Refusal::QueueFull);
+        }
+        let ahead = queue::count_ahead(&self.waiting, priority);
+        if self.rate_wait(now, ahead) > max_wait {
+            return Err(Refusal::RateLimited);
+        }
+        let mean = self.service_times.overall_mean();
+        if queue::expected_wait(&self.waiting, priority, slots, mean) > max_wait {
+            return Err(Refusal::Late);
+        }
+        Ok(())
+    }
+
     /// Why the gate accepts no calls at present, if so.
     pub(super) fn current_refusal(&self, now: Duration) -> Option<Refusal> {
         if !self.departures_loaded {
@@ -193,29 +247,3 @@
         }
     }
 }
-
-/// Maximum time that a call waits for its target to recover: as long as another gate
-/// could still answer it within its latency objective.
-fn max_recovery_wait(offer: &call::Offer, mean: Duration) -> Duration {
-    let until_objective = offer.objective.saturating_sub(mean * 3 / 2);
-    if until_objective.is_zero() {
-        OVERDUE_WAIT_MAX.min(offer.remaining.saturating_sub(mean))
-    } else {
-        until_objective
-    }
-}
-
-/// Maximum time that a call waits for a slot, and whether it misses its latency objective
-/// even if it starts at once.
-fn max_wait(offer: &call::Offer, mean: Duration) -> (Duration, bool) {
-    let until_deadline = offer.remaining.saturating_sub(mean);
-    if !offer.sheddable {
-        return (until_deadline.max(WAIT_MIN), false);
-    }
-    let until_objective = offer.objective.saturating_sub(mean).min(until_deadline);
-    if until_objective.is_zero() {
-        (until_deadline.min(OVERDUE_WAIT_MAX), true)
-    } else {
-        (until_objective, false)
-    }
-}
--- a/crates/core/src/gate/speed.rs
+++ b/crates/core/src/gate/speed.rs
@@ -137,6 +137,11 @@
         is_slow(self.slowness, self.base_slowness)
     }
 
+    /// Time that work takes at this speed; at least its usual time.
+    pub(super) fn scale(self, mean: Duration) -> Duration {
+        mean * self.slowness.max(NORMAL_SLOWNESS) / NORMAL_SLOWNESS
+    }
+
     /// Whether work of this length is best started now even if the target is slow.
     pub(super) fn allows_start(self, mean: Duration) -> bool {
         let excess = self.slowness.saturating_sub(self.base_slowness);
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -26,6 +26,10 @@
     pub misses_objective: bool,
     /// When it is refused unless it has started.
     pub start_by: Duration,
+    /// Among calls that are equal otherwise, the one with the earliest such time starts first.
+    pub order_by: Duration,
+    /// When its answer is late; `None` if it is not refused for that.
+    pub late_from: Option<Duration>,
     /// When its wait starts to count as a delay.
     pub delayed_from: Duration,
     /// What the gate does with it while the target is slow.
@@ -37,7 +41,10 @@
 }
 
 impl WaitingCall {
-    fn start_order(&self, now: Duration) -> (bool, u8, bool, bool, Duration) {
+    /// The call with the lowest order starts first. Among calls that cannot all start in time,
+    /// the one with the highest order costs callers least to refuse.
+    #[must_use]
+    pub fn start_order(&self, now: Duration) -> (bool, u8, bool, bool, Duration) {
         let is_near_deadline = now + self.mean * 2 >= self.deadline;
         let yields_to_short = self.is_long && !is_near_deadline;
         (
@@ -45,7 +52,7 @@
             self.rank,
             self.misses_objective,
             yields_to_short,
-            self.start_by,
+            self.order_by,
         )
     }
 }
@@ -92,7 +99,7 @@
 
 /// Index of the call to start next: internal before public, then by rank, calls that can
 /// meet their latency objective before those that cannot, short before long unless the
-/// deadline is near, then by the latest start. Skips calls that `may_start` rejects.
+/// deadline is near, then by the least slack. Skips calls that `may_start` rejects.
 #[must_use]
 pub fn next_to_start(
     waiting: &[WaitingCall],
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -26,6 +26,10 @@
         let reason = refusal.to_string();
         self.instruments
             .count_call(&call.service, outcome, &reason, Duration::ZERO);
+        if call.ticket.is_none() {
+            let rank = call.route.policy.rank;
+            self.instruments.count_refusal(&reason, rank);
+        }
         let result = CallerResult {
             kind,
             ticket: call.ticket,
@@ -42,6 +46,7 @@
             retry_percent,
             retry_slack,
             sheddable,
+            shed,
         } = routed_call;
         let fingerprint = fingerprint::of(&call.head, &call.body, self.caller_header);
         // The gate that a ticket names may have the answer to an earlier attempt.
@@ -68,6 +73,8 @@
             remaining: remaining.saturating_sub(call.waited + self.pauses.extra_age(started_at)),
             objective: policy.objective,
             sheddable,
+            shed,
+            waited: call.waited,
             stated_remaining: call
                 .remaining
                 .filter(|_| policy.has_uniform_deadline)
@@ -84,6 +91,7 @@
         let pending_call = PendingCall {
             request_id,
             route: request.route.clone(),
+            rank: request.rank,
             request: Request {
                 head: call.head,
                 body: call.body,
