shed: all spreads the returns of refused callers and orders them by rank

Cause: refused callers were told the expected wait at the least loaded gate, which is short while calls are shed, so that all of them were told 50 ms and came back at once, whatever their rank. With 'all' an entry gives out times in turn, at its even share of the calls that the gates of the service take in the latest second: after those of the same and of more urgent ranks, overdue calls after all others. The longest delay is a third of the time left (what callers follow) and, while the objective can be met, the time until it; a crowd beyond it is spread at random over its second half. 'lowest' and rate limits keep retry_after as it was (moved to entry/returns.rs). tests/shedding plays a crowd of a hundred times the rate: no tenth of the time gets more than a quarter of the callers. Tests of core, caller, operator and the router pass.

--- a/crates/core/src/shedding.rs
+++ b/crates/core/src/shedding.rs
@@ -7,6 +7,7 @@
 pub mod plan;
 pub mod rank_load;
 pub mod recent;
+pub mod returns;
 
 use std::time::Duration;
 
--- a/crates/core/tests/shedding/entry.rs
+++ b/crates/core/tests/shedding/entry.rs
@@ -6,6 +6,7 @@
 use pollenrouter_core::entry::{Entry, Input, Member, Output, Request};
 use pollenrouter_core::hint::Hint;
 use pollenrouter_core::shedding::Shed;
+use pollenrouter_core::shedding::returns::Refused;
 use rstest::rstest;
 
 use crate::load::{INCARNATION, SERVICE};
@@ -178,3 +179,28 @@
     }
     assert_eq!(sheddable.last(), Some(&case.sheddable));
 }
+
+/// Guards against refused callers that return faster than the targets take calls: this entry
+/// is one of two, which share two gates of eight slots at 50 ms a call.
+#[test]
+fn refused_callers_return_at_this_entry_s_share() {
+    let mut entry = entry();
+    for token in [1, 2] {
+        let first = offers(entry.step(Duration::ZERO, Input::Call(request(token))));
+        let (host, offer) = &first[0];
+        let reply = Input::Reply(host.clone(), offer.id, Reply::Answer, BUSY);
+        entry.step(Duration::ZERO, reply);
+    }
+    let refused = Refused {
+        rank: 1,
+        objective: OBJECTIVE,
+        remaining: DEADLINE,
+        draw: 0,
+    };
+    let delays: Vec<Duration> = (0..3)
+        .map(|_| entry.retry_after_in_turn(Duration::ZERO, &SERVICE.into(), refused))
+        .collect();
+    let spacing = Duration::from_micros(6250);
+    assert_eq!(delays[1].saturating_sub(delays[0]), spacing, "{delays:?}");
+    assert_eq!(delays[2].saturating_sub(delays[1]), spacing, "{delays:?}");
+}
--- a/crates/core/tests/shedding/main.rs
+++ b/crates/core/tests/shedding/main.rs
@@ -7,3 +7,4 @@
 mod overload;
 mod plan;
 mod recent;
+mod returns;
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -51,7 +51,11 @@
     service: id::ServiceName,
     route: id::RouteName,
     rank: u8,
+    shed: Shed,
     started_at: Duration,
+    /// When its answer misses the latency objective.
+    objective_at: Duration,
+    deadline: Duration,
     /// Failure that a target answered with, kept while another target is tried.
     failure_answer: Option<Answer>,
     reply_to: oneshot::Sender<CallerResult>,
