--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -16,6 +16,10 @@
 pub const BODY_MAX_BYTES: u64 = 64 << 20;
 
 /// Head of a message that expects a reply, sent on a bidirectional stream.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "most messages are offers, which a box would cost an allocation each"
+)]
 #[derive(Debug, Serialize, Deserialize)]
 pub enum RpcHead {
     /// Offers a call; the request's body follows.
