Evacuate failure domains by objects of the platform

An operator had no means to take a failure domain out of service: members could only leave one by one, and replicated objects were never removed, so an order could not have been revoked.

With the setting `evacuations` (off by default), the kind is read and watched by the watchers of the configuration and spreads by gossip. A removal is a version of the object with a marker as its value: one above the revision of the object as the watch's event states it, or the revision of a complete current listing without it. Stale listings and those with unreadable items remove nothing. Gates of the domain refuse what waits and finish what runs, entries leave them out, and all gates that are left count as equally near to the evacuated domain. A restarted daemon keeps its gate closed until the platform or a peer has told the evacuations.

Ruled out: the revision of the watch's response as version of a removal, since a store that reads it after the events could hide an object that was written again in between; the member state `leaving`, since each host of the domain would have to write to the platform, which may be out.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -125,6 +125,8 @@
         UnknownKey { display("no organisation holds this key") }
         /// The organisation has used up its quota.
         QuotaUsed { display("the quota of the organisation is used up") }
+        /// The failure domain of the gate is evacuated.
+        Evacuated { display("the failure domain of the target is evacuated") }
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -52,6 +52,8 @@
     pub failure_domain: id::DomainName,
     /// Whether the gate accepts new calls.
     pub serving: bool,
+    /// Whether the failure domain is evacuated; then the gate accepts none either.
+    pub evacuated: bool,
 }
 
 /// A caller's request, with the settings of the service document applied.
@@ -277,7 +279,7 @@
     pub fn retry_after(&mut self, now: Duration, service: &id::ServiceName) -> Duration {
         let gates = self.gates.iter();
         let loads: Vec<&selection::Load> = gates
-            .filter(|(member, _)| member.service == *service && member.serving)
+            .filter(|(member, _)| member.service == *service && member.serving && !member.evacuated)
             .map(|(_, load)| load)
             .collect();
         let expected_waits = loads.iter().map(|load| load.expected_wait(now));
--- a/crates/core/src/entry/placement.rs
+++ b/crates/core/src/entry/placement.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Records that the gate refused the call because its failure domain is evacuated: the other
+    /// gates there would refuse it as well.
+    pub(super) fn record_evacuated(&mut self, now: Duration, token: Token) {
+        let attempt = self.pending.get(&token).and_then(|p| p.attempt.as_ref());
+        if let Some(host) = attempt.map(|attempt| attempt.host.clone()) {
+            self.gates.record_evacuated(now, &host);
+        }
+    }
+
     /// Records that the target has shed the call, so that it does not get the call again: a faulty
     /// target may write its refusal once more, which would pass for the answer to that offer.
     pub(super) fn record_shed(&mut self, token: Token) {
--- a/crates/core/src/entry/retry.rs
+++ b/crates/core/src/entry/retry.rs
@@ -22,6 +22,9 @@
         if refusal == Refusal::TargetSlow {
             self.record_slow(token);
         }
+        if refusal == Refusal::Evacuated {
+            self.record_evacuated(now, token);
+        }
         let reached_target = refusal == Refusal::Shed;
         if reached_target {
             self.count_target_attempt(token);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod answer_cache;
+mod availability;
 mod dispatch;
 mod known_calls;
 mod pacing;
@@ -110,6 +111,8 @@
     Document(service::Service),
     /// The requests that must not be sent to the target, or only one at a time.
     Quarantine(quarantine::Trials),
+    /// Whether the failure domain of the gate is evacuated.
+    Evacuated(bool),
     /// The daemon is about to stop.
     Drain,
     /// Time has passed.
@@ -161,6 +164,7 @@
     announcement_ttl: Duration,
     departures_loaded: bool,
     draining: bool,
+    evacuated: bool,
     quarantined: quarantine::Trials,
     /// Rank of the most urgent calls that were delayed recently, and when the latest was.
     latest_delay: Option<(u8, Duration)>,
@@ -188,6 +192,7 @@
             announcement_ttl: ANNOUNCEMENT_TTL,
             departures_loaded: true,
             draining: false,
+            evacuated: false,
             quarantined: quarantine::Trials::new(),
             latest_delay: None,
             waiting: Vec::new(),
@@ -237,6 +242,7 @@
             Input::DeparturesLoaded => self.departures_loaded = true,
             Input::Document(document) => self.document = Some(document),
             Input::Quarantine(trials) => self.set_quarantined(trials, &mut out),
+            Input::Evacuated(evacuated) => self.evacuated = evacuated,
             Input::Drain => self.draining = true,
             Input::Tick => self.expire_answers(now, &mut out),
         }
@@ -273,32 +279,6 @@
         self.records.len()
     }
 
-    /// Service of the target, or `None` if the gate accepts no calls at present: the target
-    /// has not announced itself recently or is leaving, or the daemon is not ready.
-    #[must_use]
-    pub fn active_service(&self, now: Duration) -> Option<&id::ServiceName> {
-        self.current_refusal(now)
-            .is_none()
-            .then_some(())
-            .and(self.targets.current())
-            .map(|target| &target.announcement.service)
-    }
-
-    /// Whether it is too early to tell if the gate will accept calls: earlier departures
-    /// are not known yet, or the target may still announce itself for the first time.
-    /// `now` counts from the daemon's start.
-    #[must_use]
-    pub fn is_starting(&self, now: Duration) -> bool {
-        let awaits_target = self.targets.current().is_none() && now <= self.announcement_ttl;
-        !self.departures_loaded || awaits_target
-    }
-
-    /// Whether the departures before this daemon's start are known; until then no call starts.
-    #[must_use]
-    pub fn knows_departures(&self) -> bool {
-        self.departures_loaded
-    }
-
     /// Digest of the request with this id.
     #[must_use]
     pub fn fingerprint(&self, id: id::CallId) -> Option<id::Fingerprint> {
--- a/crates/core/src/gate/admission.rs
+++ b/crates/core/src/gate/admission.rs
@@ -124,20 +124,6 @@
         })
     }
 
-    /// Why the gate accepts no calls at present, if so.
-    pub(super) fn current_refusal(&self, now: Duration) -> Option<Refusal> {
-        if !self.departures_loaded {
-            return Some(Refusal::NotReady);
-        }
-        let Some(target) = self.targets.current() else {
-            return Some(Refusal::NoTarget);
-        };
-        if self.draining || target.announcement.draining {
-            return Some(Refusal::Draining);
-        }
-        (now > target.last_announced_at + self.announcement_ttl).then_some(Refusal::NoTarget)
-    }
-
     pub(super) fn open_slots(&self, now: Duration) -> u32 {
         let Some(target) = self.targets.current() else {
             return 0;
--- a/crates/core/src/gates.rs
+++ b/crates/core/src/gates.rs
@@ -38,8 +38,8 @@
     /// Whether a call is expected to start within `max_wait`. A gate in another failure
     /// domain is used only while it has a free slot, so that it does not delay calls from
     /// its own failure domain.
-    fn can_start_in_time(&self, now: Duration, max_wait: Duration, failure_domain: &str) -> bool {
-        if max_wait == Duration::MAX || self.member.failure_domain == failure_domain {
+    fn can_start_in_time(&self, now: Duration, max_wait: Duration, is_near: bool) -> bool {
+        if max_wait == Duration::MAX || is_near {
             return self.load.expected_wait(now) <= max_wait;
         }
         self.load.expected_wait(now).is_zero() && self.load.expected_latency(now) <= max_wait
@@ -87,17 +87,22 @@
 
 /// All gates that an entry knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Gates(BTreeMap<id::HostName, Gate>);
+pub struct Gates {
+    by_host: BTreeMap<id::HostName, Gate>,
+    /// Failure domains in which a gate has refused a call because they are evacuated, with the
+    /// time until which their gates are left out.
+    refusing_domains: BTreeMap<id::DomainName, Duration>,
+}
 
 impl Gates {
     /// Known gates with their loads.
     pub fn iter(&self) -> impl Iterator<Item = (&Member, &selection::Load)> {
-        self.0.values().map(|gate| (&gate.member, &gate.load))
+        self.by_host.values().map(|gate| (&gate.member, &gate.load))
     }
 
     /// Replaces the gates. Load and reachability are kept for unchanged incarnations.
     pub fn replace(&mut self, members: Vec<Member>) {
-        let mut old = std::mem::take(&mut self.0);
+        let mut old = std::mem::take(&mut self.by_host);
         for member in members {
             let gate = match old.remove(&member.host) {
                 Some(gate) if gate.member.incarnation == member.incarnation => {
@@ -109,37 +114,39 @@
                     probing: None,
                 },
             };
-            self.0.insert(gate.member.host.clone(), gate);
+            self.by_host.insert(gate.member.host.clone(), gate);
         }
     }
 
     /// Number of gates, over all services.
     #[must_use]
     pub fn len(&self) -> u32 {
-        u32::try_from(self.0.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.by_host.len()).unwrap_or(u32::MAX)
     }
 
     /// Whether no gate is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.by_host.is_empty()
     }
 
     /// Picks a serving gate; an unreachable one only if there is no other.
     #[must_use]
     pub fn pick(&self, now: Duration, criteria: &Criteria) -> Option<&Member> {
         let failure_domain = criteria.failure_domain;
-        let is_serving =
-            |gate: &&Gate| gate.member.service == criteria.service && gate.member.serving;
+        let is_serving = |gate: &&Gate| {
+            let member = &gate.member;
+            member.service == criteria.service && member.serving && !self.is_evacuated(now, member)
+        };
         let is_local = |gate: &Gate| gate.member.failure_domain == failure_domain;
-        let has_local = self.0.values().filter(is_serving).any(is_local);
+        let has_local = self.by_host.values().filter(is_serving).any(is_local);
         let is_eligible = |gate: &&Gate| {
             !criteria.tried.contains(&gate.member.host)
                 && (!criteria.local_only || !has_local || is_local(gate))
                 && !gate.load.is_closed(now)
         };
         let mut eligible: Vec<&Gate> = self
-            .0
+            .by_host
             .values()
             .filter(is_serving)
             .filter(is_eligible)
@@ -147,7 +154,13 @@
         if has_local {
             limit_remote_gates(&mut eligible, criteria);
         }
-        eligible.retain(|gate| gate.can_start_in_time(now, criteria.max_wait, failure_domain));
+        // All gates that are left are equally near to an evacuated failure domain.
+        let mut local = self.by_host.values().filter(|gate| is_local(gate));
+        let all_near = local.any(|gate| self.is_evacuated(now, &gate.member));
+        eligible.retain(|gate| {
+            let is_near = all_near || is_local(gate);
+            gate.can_start_in_time(now, criteria.max_wait, is_near)
+        });
         let reachable: Vec<&Gate> = eligible
             .iter()
             .copied()
@@ -171,13 +184,31 @@
     /// The gate of a host, if it is serving and accepts calls.
     #[must_use]
     pub fn serving(&self, now: Duration, host: &str) -> Option<&Member> {
-        let gate = self.0.get(host)?;
-        (gate.member.serving && !gate.load.is_closed(now)).then_some(&gate.member)
+        let gate = self.by_host.get(host)?;
+        let is_serving = gate.member.serving && !self.is_evacuated(now, &gate.member);
+        (is_serving && !gate.load.is_closed(now)).then_some(&gate.member)
+    }
+
+    fn is_evacuated(&self, now: Duration, member: &Member) -> bool {
+        let refusing_until = self.refusing_domains.get(&member.failure_domain);
+        member.evacuated || refusing_until.is_some_and(|until| now <= *until)
+    }
+
+    /// Records that a gate refused a call because its failure domain is evacuated. The entry may
+    /// hear of the evacuation, or of its end, a little later than the gate.
+    pub fn record_evacuated(&mut self, now: Duration, host: &id::HostName) {
+        let Some(gate) = self.by_host.get(host) else {
+            return;
+        };
+        self.refusing_domains.retain(|_, until| now <= *until);
+        let domain = gate.member.failure_domain.clone();
+        self.refusing_domains
+            .insert(domain, now + selection::CLOSED_TTL);
     }
 
     /// Records that a call was offered to a gate.
     pub fn call_offered(&mut self, host: &id::HostName) {
-        if let Some(gate) = self.0.get_mut(host) {
+        if let Some(gate) = self.by_host.get_mut(host) {
             gate.load.outstanding += 1;
             gate.load.offered_since += 1;
         }
@@ -185,14 +216,14 @@
 
     /// Records that a call at a gate ended or was abandoned.
     pub fn call_ended(&mut self, host: &id::HostName) {
-        if let Some(gate) = self.0.get_mut(host) {
+        if let Some(gate) = self.by_host.get_mut(host) {
             gate.load.outstanding = gate.load.outstanding.saturating_sub(1);
         }
     }
 
     /// Records the load that came with a reply.
     pub fn record_hint(&mut self, now: Duration, host: &id::HostName, hint: hint::Hint) {
-        if let Some(gate) = self.0.get_mut(host) {
+        if let Some(gate) = self.by_host.get_mut(host) {
             gate.load.report = Some((hint, now));
             gate.load.offered_since = 0;
             gate.member.serving &= !hint.leaving;
@@ -202,14 +233,14 @@
 
     /// Records that a probe reached a gate.
     pub fn mark_reachable(&mut self, host: &id::HostName) {
-        if let Some(gate) = self.0.get_mut(host) {
+        if let Some(gate) = self.by_host.get_mut(host) {
             gate.probing = None;
         }
     }
 
     /// Records that a gate could not be reached, and schedules a probe.
     pub fn mark_unreachable(&mut self, now: Duration, host: &id::HostName) {
-        if let Some(gate) = self.0.get_mut(host) {
+        if let Some(gate) = self.by_host.get_mut(host) {
             gate.probing.get_or_insert(Probing {
                 next_probe_at: now + PROBE_INTERVAL_MIN,
                 interval: PROBE_INTERVAL_MIN,
@@ -220,7 +251,7 @@
     /// Gates to probe now; schedules their next probes.
     pub fn due_probes(&mut self, now: Duration) -> Vec<id::HostName> {
         let mut due = Vec::new();
-        for gate in self.0.values_mut() {
+        for gate in self.by_host.values_mut() {
             let Some(probing) = gate.probing.as_mut().filter(|s| s.next_probe_at <= now) else {
                 continue;
             };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call;
 pub mod documents;
 pub mod entry;
+pub mod evacuations;
 pub mod fingerprint;
 pub mod gate;
 pub mod gates;
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -10,7 +10,7 @@
 /// A reported slowness is used for this long; it changes within fractions of a second.
 const SLOWNESS_TTL: Duration = Duration::from_millis(150);
 /// A gate that reported to be closed is offered calls again after this long.
-const CLOSED_TTL: Duration = Duration::from_millis(300);
+pub(crate) const CLOSED_TTL: Duration = Duration::from_millis(300);
 /// Slowness of a target at its normal service time, percent.
 const NORMAL_SLOWNESS: u32 = 100;
 /// Service time assumed until a gate has reported one: short, so that new gates get
--- a/crates/core/tests/slow_targets.rs
+++ b/crates/core/tests/slow_targets.rs
@@ -44,6 +44,7 @@
         service: SERVICE.into(),
         failure_domain: (*domain).into(),
         serving: true,
+        ..Member::default()
     });
     let now = Duration::from_secs(1);
     entry.step(now, Input::Members(members.collect()));
--- a/crates/core/tests/startup_sync.rs
+++ b/crates/core/tests/startup_sync.rs
@@ -68,6 +68,35 @@
     view: WITH_OTHERS,
     opens: true,
 };
+/// The platform has the registration but has not told the evacuations yet.
+const EVACUATIONS_UNKNOWN: Case = Case {
+    events: |sync| {
+        sync.await_evacuations();
+        sync.on_registered();
+        sync.on_members_listed();
+        sync.on_round();
+        sync.on_round();
+    },
+    view: ALONE,
+    opens: false,
+};
+const EVACUATIONS_LISTED: Case = Case {
+    events: |sync| {
+        (EVACUATIONS_UNKNOWN.events)(sync);
+        sync.on_evacuations_listed();
+    },
+    opens: true,
+    ..EVACUATIONS_UNKNOWN
+};
+/// The platform is unavailable; another daemon has told all that it knows.
+const EVACUATIONS_OF_A_PEER: Case = Case {
+    events: |sync| {
+        sync.await_evacuations();
+        sync.on_peer_synced();
+    },
+    opens: true,
+    ..EVACUATIONS_UNKNOWN
+};
 const ROUNDS_WITHOUT_REGISTRATION: Case = Case {
     events: |sync| (0..10).for_each(|_| sync.on_round()),
     view: WITH_OTHERS,
@@ -82,6 +111,9 @@
 #[case::peer_synced(PEER_SYNCED)]
 #[case::peer_synced_own_object_unknown(PEER_SYNCED_OWN_OBJECT_UNKNOWN)]
 #[case::no_response(NO_RESPONSE)]
+#[case::evacuations_unknown(EVACUATIONS_UNKNOWN)]
+#[case::evacuations_listed(EVACUATIONS_LISTED)]
+#[case::evacuations_of_a_peer(EVACUATIONS_OF_A_PEER)]
 #[case::rounds_without_registration(ROUNDS_WITHOUT_REGISTRATION)]
 fn gate_opens_once_earlier_departures_are_known(#[case] case: Case) {
     let mut sync = StartupSync::default();
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -49,6 +49,9 @@
     pub keys: Option<Keys>,
     /// Limits of services whose configuration states none.
     pub limits: Limits,
+    /// Whether operators may evacuate failure domains by objects of the platform. The platform is
+    /// read for them only then.
+    pub evacuations: bool,
     /// Maximum time to wait for calls in flight during a planned stop.
     pub stop_timeout: Duration,
     /// Log level.
@@ -126,6 +129,7 @@
         Some(DEFAULT_ANSWER_WAIT_MS),
     );
     let limits = f.optional_mapping("limits", Limits::default(), document::read_limits);
+    let evacuations = f.switch("evacuations");
     let stop = f.integer(
         "stop_timeout_ms",
         0..=STOP_TIMEOUT_MAX_MS,
@@ -157,6 +161,7 @@
                 ..limits?
             },
         },
+        evacuations: evacuations?,
         stop_timeout: match grace? {
             None => Duration::from_millis(stop?),
             Some(grace) => grace.saturating_sub(GRACE_MARGIN),
--- a/crates/operator/src/yaml.rs
+++ b/crates/operator/src/yaml.rs
@@ -1,5 +1,7 @@
 //! Reads YAML mappings field by field; invalid fields become findings.
 
+mod boolean;
+
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt::Display;
@@ -254,16 +256,6 @@
         None
     }
 
-    /// Reads a Boolean.
-    pub fn boolean(&mut self, name: &'static str) -> Option<bool> {
-        let node = self.require(name)?;
-        let YamlData::Value(Scalar::Boolean(value)) = node.data else {
-            self.report_at(node, name, "is neither `true` nor `false`");
-            return None;
-        };
-        Some(value)
-    }
-
     /// Reads an integer within `bounds`; a default makes the field optional.
     pub fn integer(
         &mut self,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,12 +6,12 @@
 use log::warn;
 use pollenrouter_core::{id, replica, version};
 use quick_error::quick_error;
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use ureq::http::{HeaderMap, Request};
 
 use crate::dialect::{self, Dialect, Freshness, SyncMode};
 use crate::era;
+use crate::listing::Listing;
 
 /// Timeout of a request. A healthy platform answers within milliseconds, so a request that
 /// takes this long is better retried than waited for.
@@ -57,15 +57,6 @@
     }
 }
 
-/// Objects as of a revision of the platform.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Listing {
-    /// Revision of the platform.
-    pub revision: id::Version,
-    /// The objects.
-    pub objects: Vec<replica::Object>,
-}
-
 /// Response of the platform.
 struct Response {
     status: u16,
@@ -146,6 +137,7 @@
         let mut listing = Listing {
             revision: id::Version::MAX,
             objects: Vec::new(),
+            is_complete: freshness == Freshness::Current,
         };
         let mut cursor = SmolStr::default();
         loop {
@@ -159,10 +151,12 @@
             let part = self.listing_in_era(response.era, page.listing);
             listing.revision = listing.revision.min(part.revision);
             listing.objects.extend(part.objects);
+            listing.is_complete &= part.is_complete;
             match page.next_cursor {
                 Some(next) if next != cursor => cursor = next,
                 Some(_) => {
                     warn!(prefix, cursor:%; "the platform's listing does not go on, the rest of it is skipped");
+                    listing.is_complete = false;
                     return Ok(listing);
                 }
                 None => return Ok(listing),
@@ -321,6 +315,7 @@
         Listing {
             revision: version::in_era(era, listing.revision),
             objects: objects.map(|object| self.in_era(era, object)).collect(),
+            is_complete: listing.is_complete,
         }
     }
 
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -9,7 +9,7 @@
 use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
-use crate::client::Listing;
+use crate::listing::Listing;
 
 /// Why a body could not be parsed.
 pub type ParseError = String;
@@ -128,9 +128,11 @@
 
 fn parse_listing(body: &str) -> Result<Listing, ParseError> {
     let parsed: ListingBody = parse(body)?;
+    let objects: Vec<replica::Object> = parse_items(&parsed.objects);
     Ok(Listing {
         revision: parsed.revision,
-        objects: parse_items(&parsed.objects),
+        is_complete: objects.len() == parsed.objects.len(),
+        objects,
     })
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod client;
 pub mod dialect;
 mod era;
+pub mod listing;
 pub mod object;
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -20,6 +20,8 @@
 pub const DEPARTURES: &str = "departures/";
 /// Key prefix of the crashes of targets, which daemons tell each other at once; the host follows.
 pub const CRASHES: &str = "crashes/";
+/// Key prefix of the evacuations that an operator has written; the failure domain follows.
+pub const EVACUATIONS: &str = "evacuations/";
 /// Key of the platform's latest era, as daemons tell each other; its version is the era.
 pub const ERA: &str = "era";
 /// Maximum number of departed incarnations that a member's object keeps; a host has one target at a time.
--- a/crates/platform/tests/lists.rs
+++ b/crates/platform/tests/lists.rs
@@ -22,3 +22,29 @@
     let keys: Vec<&str> = objects.iter().map(|object| object.key.as_str()).collect();
     assert_eq!(keys, ["members/a", "members/c"]);
 }
+
+/// Guards against an object that counts as removed because it is missing in a list that is stale, or
+/// cannot be read.
+#[rstest]
+#[case::current(
+    Freshness::Current,
+    r#"{"key":"members/a","version":7,"value":"text"}"#,
+    true
+)]
+#[case::stale(
+    Freshness::AllowStale,
+    r#"{"key":"members/a","version":7,"value":"text"}"#,
+    false
+)]
+#[case::odd(Freshness::Current, "null", false)]
+fn only_a_current_list_that_can_be_read_is_complete(
+    #[case] freshness: Freshness,
+    #[case] item: &str,
+    #[case] is_complete: bool,
+) {
+    let body = format!(r#"{{"revision":9,"objects":[{item}]}}"#);
+    let (client, _requests) = support::platform(vec![(200, body.into_bytes())]);
+    let listing = client.list("members/", freshness);
+    let listing = listing.expect("list must be read");
+    assert_eq!(listing.is_complete, is_complete);
+}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -3,6 +3,7 @@
 
 mod incoming;
 mod outputs;
+mod target_state;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -11,8 +12,7 @@
 use pollenrouter_caller::message::{Call, CallerResult};
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
-use pollenrouter_core::gate::statement::Statement;
-use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine, service};
+use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_target::message as target;
@@ -240,47 +240,6 @@
             .is_some_and(|(_, trial_host)| trial_host.is_none())
     }
 
-    /// Sets the document of the target's service.
-    pub fn set_document(&mut self, service: service::Service) {
-        self.answer_max_bytes = service.limits.answer_bytes;
-        self.process(Input::Gate(gate::Input::Document(service)));
-    }
-
-    /// Handles an announcement of the target.
-    pub fn handle_announcement(&mut self, announcement: gate::Announcement) {
-        self.process(Input::Gate(gate::Input::Announced(announcement)));
-    }
-
-    /// Handles the departure of a target.
-    pub fn handle_departure(&mut self, incarnation: gate::target::TargetIncarnation) {
-        self.process(Input::Gate(gate::Input::Departed(incarnation)));
-    }
-
-    /// Lets calls start, now that the departures before this daemon's start are known.
-    pub fn handle_departures_loaded(&mut self) {
-        self.process(Input::Gate(gate::Input::DeparturesLoaded));
-    }
-
-    /// Handles what the target states about itself.
-    pub fn handle_statement(&mut self, statement: Statement) {
-        let asked_at = statement.asked_at.saturating_sub(self.clock_start);
-        let statement = Statement {
-            asked_at,
-            ..statement
-        };
-        self.process(Input::Gate(gate::Input::Stated(statement)));
-    }
-
-    /// Handles a load report of the target.
-    pub fn handle_load_report(&mut self, report: gate::LoadReport) {
-        self.process(Input::Gate(gate::Input::LoadReported(report)));
-    }
-
-    /// Handles the failure of a load request to the target.
-    pub fn handle_load_unavailable(&mut self) {
-        self.process(Input::Gate(gate::Input::LoadNotReported));
-    }
-
     /// Handles the end of a call at the target.
     pub fn handle_finished(
         &mut self,
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that the router handles, and the bounded channel that carries them.
 
 use pollenrouter_core::replica;
-use pollenrouter_platform::client::Listing;
+use pollenrouter_platform::listing::Listing;
 use tokio::sync::{mpsc, oneshot};
 
 /// Number of events that can wait for the router.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -5,6 +5,8 @@
 mod crashes;
 mod departures;
 mod eras;
+mod evacuations;
+mod members;
 pub mod staleness;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,6 +15,7 @@
 use std::sync::{Arc, PoisonError, RwLock, mpsc};
 
 use log::{info, warn};
+use pollenrouter_core::evacuations::Evacuations;
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::membership::{self, Membership};
 use pollenrouter_core::{
@@ -20,7 +23,7 @@
 };
 use pollenrouter_daemon::message::{Command, Gossip, Peer};
 use pollenrouter_operator::document;
-use pollenrouter_platform::client::Listing;
+use pollenrouter_platform::listing::Listing;
 use pollenrouter_platform::object::{self, Member, MemberState};
 
 use crate::platform_io::Write;
@@ -66,6 +69,8 @@
     /// Apply the departure of a target on this host without acknowledging it: the departure
     /// came in an object that only daemons store.
     ApplyDeparture(TargetIncarnation),
+    /// Apply whether the failure domain of this host is evacuated.
+    SetEvacuated(bool),
     /// Open the gate: departures acknowledged before this daemon started are known.
     OpenGate,
 }
@@ -108,6 +113,7 @@
     crash_observer: quarantine::Observer,
     /// Crashes of targets in the whole fleet.
     crash_evidence: quarantine::Evidence,
+    evacuations: Evacuations,
     shared: SharedState,
 }
 
@@ -115,7 +121,7 @@
     /// Creates a view without members and enqueues the registration of `own`.
     pub fn new(own: Member, profile: Profile, shared: SharedState) -> Self {
         let mut fleet = Self {
-            membership: Membership::new(membership_member(&own)),
+            membership: Membership::new(members::to_membership(&own)),
             documents: documents::Documents::default(),
             active_table: pollenrouter_core::active_table::ActiveTable::default(),
             profile,
@@ -131,9 +137,11 @@
             is_synced: false,
             crash_observer: quarantine::Observer::default(),
             crash_evidence: quarantine::Evidence::default(),
+            evacuations: Evacuations::default(),
             own,
             shared,
         };
+        fleet.await_evacuations();
         fleet.register();
         fleet
     }
@@ -198,10 +206,11 @@
     }
 
     /// Applies a listing of all objects under a prefix, read from the platform.
-    pub fn on_listed(&mut self, prefix: &str, listing: Listing) -> Vec<Effect> {
+    pub fn on_listed(&mut self, prefix: &str, mut listing: Listing) -> Vec<Effect> {
         if object::MEMBERS.starts_with(prefix) {
             self.startup_sync.on_members_listed();
         }
+        self.on_evacuations_listed(prefix, &mut listing);
         self.log_older(&listing.objects);
         let input = membership::Input::Read(listing.objects, rand::random());
         let mut effects = self.step(input);
@@ -350,7 +359,7 @@
         }
     }
 
-    /// Applies a new version of an object; returns whether it is a member object.
+    /// Applies a new version of an object; returns whether it changes which members take calls.
     fn apply_object(&mut self, object: &replica::Object, effects: &mut Vec<Effect>) -> bool {
         if let Some(name) = object.key.strip_prefix(object::SERVICES) {
             let name = id::ServiceName::new(name);
@@ -360,6 +369,9 @@
             }
             return false;
         }
+        if let Some(domain) = object.key.strip_prefix(object::EVACUATIONS) {
+            return self.apply_evacuation(domain, object, effects);
+        }
         if object.key == object::ERA {
             self.set_era(object.version);
             return false;
@@ -428,24 +440,6 @@
         self.members.insert(member.host.clone(), member);
     }
 
-    fn update_members(&mut self, effects: &mut Vec<Effect>) {
-        let is_present = |member: &&Member| member.state != MemberState::Left;
-        let peers = self
-            .members
-            .values()
-            .filter(is_present)
-            .map(membership_member);
-        self.membership
-            .step(membership::Input::Members(peers.collect()));
-        // This daemon's own entry comes from its local state: its member object may be stale
-        // or that of an earlier incarnation.
-        let is_own = |member: &&Member| member.host == self.own.host;
-        let others = self.members.values().filter(|member| !is_own(member));
-        let gates = others.filter(is_present).chain([&self.own]);
-        let gates = gates.filter_map(entry_member).collect();
-        effects.push(Effect::SetMembers(gates));
-    }
-
     fn register(&mut self) {
         self.registered_at = None;
         self.enqueue_write(Write::Register(self.own.clone()));
@@ -484,21 +478,3 @@
     }
     Ok(service)
 }
-
-fn membership_member(member: &Member) -> membership::Member {
-    membership::Member {
-        host: member.host.clone(),
-        failure_domain: member.failure_domain.clone(),
-        incarnation: member.incarnation,
-    }
-}
-
-fn entry_member(member: &Member) -> Option<entry::Member> {
-    Some(entry::Member {
-        host: member.host.clone(),
-        incarnation: member.incarnation,
-        service: member.service.clone()?,
-        failure_domain: member.failure_domain.clone(),
-        serving: member.state == MemberState::Serving,
-    })
-}
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -28,6 +28,8 @@
     table_version: Gauge<u64>,
     table_age: Gauge<f64>,
     platform_silence: Gauge<f64>,
+    evacuated_domains: Gauge<u64>,
+    evacuated: Gauge<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -56,6 +58,8 @@
         platform_silence: meter
             .f64_gauge("pollenrouter_platform_silence_seconds")
             .build(),
+        evacuated_domains: meter.u64_gauge("pollenrouter_evacuated_domains").build(),
+        evacuated: meter.u64_gauge("pollenrouter_gate_evacuated").build(),
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -122,6 +126,13 @@
         self.platform_silence
             .record(to_seconds(report.silent_ms), &[]);
     }
+
+    /// Sets the gauges for the number of evacuated failure domains, and for whether that of this
+    /// host is one of them.
+    pub fn record_evacuations(&self, domains: usize, is_own_evacuated: bool) {
+        self.evacuated_domains.record(domains as u64, &[]);
+        self.evacuated.record(is_own_evacuated.into(), &[]);
+    }
 }
 
 fn label_value(text: &str) -> Value {
--- a/crates/router/src/platform_io/duty.rs
+++ b/crates/router/src/platform_io/duty.rs
@@ -1,6 +1,6 @@
 //! Whether the readers of this daemon watch the platform.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::collections::BTreeMap;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -12,7 +12,8 @@
 pub struct Duty {
     waits: Mutex<Option<Waits>>,
     changed: Condvar,
-    is_connected: AtomicBool,
+    /// Whether the watch of each prefix reaches the platform.
+    connected: Mutex<BTreeMap<&'static str, bool>>,
 }
 
 impl Duty {
@@ -25,13 +26,19 @@
         }
     }
 
-    /// Whether this daemon watches, and the latest request of its watch was answered.
+    /// Whether this daemon watches, and the latest request of each of its watches was answered.
     pub fn is_connected(&self) -> bool {
-        self.is_connected.load(Ordering::Relaxed)
+        let connected = self
+            .connected
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        !connected.is_empty() && connected.values().all(|is_connected| *is_connected)
     }
 
-    pub(super) fn set_connected(&self, is_connected: bool) {
-        self.is_connected.store(is_connected, Ordering::Relaxed);
+    pub(super) fn set_connected(&self, prefix: &'static str, is_connected: bool) {
+        let connected = self.connected.lock();
+        let mut connected = connected.unwrap_or_else(PoisonError::into_inner);
+        connected.insert(prefix, is_connected);
     }
 
     pub(super) fn get(&self) -> Option<Waits> {
--- a/crates/router/src/platform_io/reader.rs
+++ b/crates/router/src/platform_io/reader.rs
@@ -7,8 +7,9 @@
 
 use log::{info, warn};
 use pollenrouter_core::{id, version};
-use pollenrouter_platform::client::{Client, Listing, PlatformError};
+use pollenrouter_platform::client::{Client, PlatformError};
 use pollenrouter_platform::dialect::{Freshness, SyncMode};
+use pollenrouter_platform::listing::Listing;
 use pollenrouter_platform::object;
 
 use super::duty;
@@ -185,7 +186,7 @@
     /// Records whether the platform answered the latest request of a watch.
     fn set_connected(&self, is_connected: bool) {
         if self.sync_mode == SyncMode::Watch {
-            self.duty.set_connected(is_connected);
+            self.duty.set_connected(self.prefix, is_connected);
         }
     }
 
--- a/crates/router/src/profile.rs
+++ b/crates/router/src/profile.rs
@@ -26,6 +26,8 @@
     pub parse_table: Option<ParseTableFn>,
     /// Limits of services whose configuration states none.
     pub default_limits: Limits,
+    /// Whether operators may evacuate failure domains.
+    pub evacuations: bool,
 }
 
 impl Profile {
@@ -38,12 +40,13 @@
             parse_announcement: announcement::parse_own,
             parse_table: None,
             default_limits: settings.limits.clone(),
+            evacuations: settings.evacuations,
         };
         match settings.profile {
             settings::Profile::Own => own,
             settings::Profile::Platform => Self {
                 convention: adapter::headers::CONVENTION,
-                dialect: adapter::store::DIALECT,
+                dialect: store_dialect(settings.evacuations),
                 parse_announcement: adapter::announcement::parse,
                 parse_table: Some(adapter::table::parse),
                 ..own
@@ -51,3 +54,14 @@
         }
     }
 }
+
+/// The dialect of the platform's metadata store, which reads evacuations only on request.
+fn store_dialect(evacuations: bool) -> Dialect {
+    if !evacuations {
+        return adapter::store::DIALECT;
+    }
+    Dialect {
+        prefixes: adapter::store::PREFIXES_WITH_EVACUATIONS,
+        ..adapter::store::DIALECT
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,7 @@
 //! The router: handles the events of a daemon one at a time, in order.
 
 mod departures;
+mod rounds;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -316,43 +317,6 @@
         }
     }
 
-    fn run_membership_round(&mut self) {
-        self.update_state();
-        self.fleet.store_crashes();
-        let effects = self.fleet.on_round();
-        self.apply_effects(effects);
-        self.probe_target();
-        let hint = self.calls.gate().hint(self.calls.now());
-        let recorded_calls = self.calls.gate().record_count();
-        let members = self.fleet.members().count();
-        self.calls
-            .instruments()
-            .record_gauges(&hint, recorded_calls, members);
-        let staleness = self.fleet.staleness();
-        self.calls.instruments().record_staleness(staleness);
-    }
-
-    /// Probes the target if this daemon's share of the service's probe budget allows it.
-    fn probe_target(&mut self) {
-        let Some(service) = &self.service else {
-            return;
-        };
-        let table = self.fleet.table();
-        let Some(document) = table.and_then(|table| table.services.get(service)) else {
-            return;
-        };
-        let rate = bucket::Rate {
-            per_minute: document.probe_budget.probes_per_minute,
-            shared_by: document.probe_budget.targets_max,
-        };
-        let has_share = self.fleet.has_probe_share(rate.shared_by);
-        if has_share && self.probe_bucket.take(rate, self.calls.now()) {
-            self.calls.instruments().count_probe();
-            // If the channel is full, the probe is skipped.
-            let _ = self.target_commands.try_send(target::Command::Probe);
-        }
-    }
-
     fn step_fleet(&mut self, input: membership::Input) {
         let effects = self.fleet.step(input);
         self.apply_effects(effects);
@@ -380,6 +344,7 @@
                 }
                 Effect::ConfirmDeparture(incarnation) => self.handle_departure_stored(incarnation),
                 Effect::ApplyDeparture(incarnation) => self.calls.handle_departure(incarnation),
+                Effect::SetEvacuated(evacuated) => self.calls.set_evacuated(evacuated),
                 Effect::OpenGate => {
                     self.calls.handle_departures_loaded();
                     self.update_state();
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -21,9 +21,11 @@
             "state": m.state,
         })).collect::<Vec<_>>(),
         "gates": known_gates(calls),
+        "evacuated": fleet.evacuations().iter().collect::<Vec<_>>(),
         "own": json!({
             "incarnation": format!("{:x}", calls.gate().incarnation()),
             "load": gate_load(&calls.gate().hint(calls.now())),
+            "evacuated": calls.gate().is_evacuated(),
             "departures_known": calls.gate().knows_departures(),
             "remembered_calls": calls.gate().record_count(),
             "watches_platform": fleet.is_watcher(),
