Pace the calls to cold targets

A target that has just started, or whose failure domain has just returned, got calls up to its slots at once, though the configuration states how many it bears while it is cold.

Where a service states a cold start, its gate spaces the starts at a cold target by the rate, without a burst, and counts those of the second before it became cold: in any one second at most the rate and 4 calls start, which leaves half of the 8 allowed ones for uneven arrivals. After a daemon's start no call starts at a cold target for a second, as the earlier incarnation may just have started some. A target is cold by its announcements and health answers (a new header of the convention), and after a connection to it failed, a daemon's start or the return of its domain until it states otherwise. Health answers to requests sent before the latest news do not count. Hints carry the lower of the cold rate and the stated one, as for a rate limit.

Ruled out: the pacer of stated rates alone, which allows half a second's calls at once and knows no calls from before; counting an answer that is no HTTP as a failed connection, since a target that answers badly has not restarted.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod answer_cache;
 mod availability;
+mod cold;
 mod dispatch;
 mod known_calls;
 mod pacing;
@@ -23,10 +24,8 @@
 
 use crate::call::{self, Refusal, Reply, UnknownReason};
 use crate::fingerprint;
-use crate::hint;
 use crate::id;
 use crate::queue;
-use crate::rate::RateLimit;
 use crate::records::{self, State};
 use crate::service;
 use crate::service_times;
@@ -105,6 +104,8 @@
     LoadReported(LoadReport),
     /// The target did not report its load on request.
     LoadNotReported,
+    /// A connection to this target was refused or broke off: the target may have restarted.
+    ConnectionFailed(target::TargetIncarnation),
     /// Departures before this daemon's start are known; calls may start from now on.
     DeparturesLoaded,
     /// A service document came into force.
@@ -161,6 +162,7 @@
     targets: target::Targets,
     speed_tracker: speed::SpeedTracker,
     pacing: pacing::Pacing,
+    cold: cold::Cold,
     announcement_ttl: Duration,
     departures_loaded: bool,
     draining: bool,
@@ -189,6 +191,7 @@
             targets: target::Targets::default(),
             speed_tracker: speed::SpeedTracker::default(),
             pacing: pacing::Pacing::default(),
+            cold: cold::Cold::default(),
             announcement_ttl: ANNOUNCEMENT_TTL,
             departures_loaded: true,
             draining: false,
@@ -234,7 +237,7 @@
             Input::Query(query) => self.handle_query(query, &mut out),
             Input::Withdraw(query) => self.handle_withdrawal(query, &mut out),
             Input::Finished(id, outcome) => self.handle_finished(now, id, outcome, &mut out),
-            Input::Announced(announcement) => self.targets.apply_announcement(now, announcement),
+            Input::Announced(announcement) => self.apply_announcement(now, announcement),
             Input::Departed(incarnation) => self.targets.apply_departure(incarnation),
             Input::Stated(statement) => self.apply_statement(now, &statement),
             Input::LoadReported(report) => self.speed_tracker.record_report(now, report),
@@ -242,7 +245,8 @@
             Input::DeparturesLoaded => self.departures_loaded = true,
             Input::Document(document) => self.document = Some(document),
             Input::Quarantine(trials) => self.set_quarantined(trials, &mut out),
-            Input::Evacuated(evacuated) => self.evacuated = evacuated,
+            Input::ConnectionFailed(target) => self.apply_connection_failure(now, &target),
+            Input::Evacuated(evacuated) => self.set_evacuated(now, evacuated),
             Input::Drain => self.draining = true,
             Input::Tick => self.expire_answers(now, &mut out),
         }
@@ -302,26 +306,6 @@
         self.targets.has_departed(incarnation)
     }
 
-    /// Load of the gate for entries.
-    #[must_use]
-    pub fn hint(&self, now: Duration) -> hint::Hint {
-        let failed = self.outcomes.iter().filter(|failed| **failed).count();
-        hint::Hint {
-            running: saturating_u32(self.running.len()),
-            waiting: saturating_u32(self.waiting.len()),
-            slots: self.open_slots(now),
-            mean_service_time: self.service_times.overall_mean(),
-            slowness: self.speed_tracker.slowness(now),
-            rate_wait: self.rate_wait(now, saturating_u32(self.waiting.len())),
-            rate_interval: self
-                .rate_limit()
-                .map_or(Duration::ZERO, RateLimit::interval),
-            failing: saturating_u32(failed) * 2 > OUTCOME_WINDOW,
-            leaving: self.current_refusal(now) == Some(Refusal::Draining),
-            closed: self.current_refusal(now).is_some() || self.document.is_none(),
-        }
-    }
-
     fn remove_waiting(&mut self, id: id::CallId) {
         self.waiting.retain(|w| w.id != id);
     }
--- a/crates/core/src/gate/availability.rs
+++ b/crates/core/src/gate/availability.rs
@@ -1,9 +1,10 @@
-//! Whether a gate accepts calls at present.
+//! Whether a gate accepts calls at present, and what it tells entries about its load.
 
 use std::time::Duration;
 
-use super::Gate;
+use super::{Gate, OUTCOME_WINDOW, saturating_u32};
 use crate::call::Refusal;
+use crate::hint;
 use crate::id;
 
 impl Gate {
@@ -61,4 +62,22 @@
     pub fn knows_departures(&self) -> bool {
         self.departures_loaded
     }
+
+    /// Load of the gate for entries.
+    #[must_use]
+    pub fn hint(&self, now: Duration) -> hint::Hint {
+        let failed = self.outcomes.iter().filter(|failed| **failed).count();
+        hint::Hint {
+            running: saturating_u32(self.running.len()),
+            waiting: saturating_u32(self.waiting.len()),
+            slots: self.open_slots(now),
+            mean_service_time: self.service_times.overall_mean(),
+            slowness: self.speed_tracker.slowness(now),
+            rate_wait: self.rate_wait(now, saturating_u32(self.waiting.len())),
+            rate_interval: self.rate_interval(now),
+            failing: saturating_u32(failed) * 2 > OUTCOME_WINDOW,
+            leaving: self.current_refusal(now) == Some(Refusal::Draining),
+            closed: self.current_refusal(now).is_some() || self.document.is_none(),
+        }
+    }
 }
--- a/crates/core/src/gate/pacing.rs
+++ b/crates/core/src/gate/pacing.rs
@@ -1,4 +1,4 @@
-//! Pacing of the calls to a target by the rate that it has named.
+//! Pacing of the calls to a target by the rate that it has named, and while it is cold.
 
 use std::time::Duration;
 
@@ -94,15 +94,26 @@
         self.pacing.limit.filter(|_| is_current)
     }
 
-    /// Time until the rate limit lets a call start after `ahead` others.
+    /// Time until the rate limit, and the rate of a cold target, let a call start after `ahead`
+    /// others.
     pub(super) fn rate_wait(&self, now: Duration, ahead: u32) -> Duration {
         let wait = |limit| self.pacing.pacer.wait(now, limit, ahead);
-        self.rate_limit().map_or(Duration::ZERO, wait)
+        let limit_wait = self.rate_limit().map_or(Duration::ZERO, wait);
+        limit_wait.max(self.cold_wait(now, ahead))
+    }
+
+    /// Time between two calls at the lower of the rate limit and the rate of a cold target; zero
+    /// if neither applies.
+    pub(super) fn rate_interval(&self, now: Duration) -> Duration {
+        let limit = self.rate_limit();
+        let interval = limit.map_or(Duration::ZERO, RateLimit::interval);
+        interval.max(self.cold_interval(now))
     }
 
     pub(super) fn record_paced_start(&mut self, now: Duration) {
         if let Some(limit) = self.rate_limit() {
             self.pacing.pacer.record(now, limit);
         }
+        self.record_cold_start(now);
     }
 }
--- a/crates/core/src/gate/statement.rs
+++ b/crates/core/src/gate/statement.rs
@@ -34,6 +34,8 @@
     pub rate: StatedRate,
     /// Whether the target is leaving.
     pub leaving: bool,
+    /// How long the target stays cold, if it states that.
+    pub cold: Option<Duration>,
 }
 
 /// What other hosts know about the target of a gate. They tell it to the gate with each
@@ -62,6 +64,7 @@
     /// Applies what the target states about itself.
     pub(super) fn apply_statement(&mut self, now: Duration, statement: &Statement) {
         self.apply_stated_rate(now, statement);
+        self.apply_stated_cold(now, statement);
         // A health check names no target, so another one may have answered it.
         if statement.leaving && !statement.is_probe {
             self.targets.apply_stated_departure(&statement.target);
--- a/crates/core/src/gate/target.rs
+++ b/crates/core/src/gate/target.rs
@@ -75,13 +75,13 @@
             .any(|departed| departed.implies_departure_of(incarnation))
     }
 
-    /// Applies an announcement unless it is outdated.
-    pub(super) fn apply_announcement(&mut self, now: Duration, announcement: Announcement) {
+    /// Applies an announcement unless it is outdated; returns whether it was applied.
+    pub(super) fn apply_announcement(&mut self, now: Duration, announcement: Announcement) -> bool {
         let incarnation = &announcement.incarnation;
         // Without a name or a sequence the announcement received last is the newest.
         let is_named = !incarnation.name.is_empty();
         if is_named && self.is_outdated(&announcement) {
-            return;
+            return false;
         }
         if is_named && announcement.draining {
             self.apply_departure(incarnation.clone());
@@ -97,6 +97,7 @@
             first_announced_at,
             last_announced_at: now,
         });
+        true
     }
 
     fn is_outdated(&self, announcement: &Announcement) -> bool {
--- a/crates/http/src/convention.rs
+++ b/crates/http/src/convention.rs
@@ -55,6 +55,9 @@
     /// Response header by which a target names the rate of calls that it takes, and the parser
     /// for it.
     pub rate_limit_header: (&'static str, ParseRate),
+    /// Header of a health answer by which a target states how long it stays cold, milliseconds;
+    /// 0 if it is warm.
+    pub cold_header: Option<&'static str>,
     /// Response header, with the value `1`, by which a target states that it is leaving.
     pub leaving_header: &'static str,
     /// Whether a call is cancelled by a separate request to the target. If false, the
@@ -89,6 +92,7 @@
     signature_header: None,
     load_header: None,
     rate_limit_header: ("target-limit", parse_rate),
+    cold_header: None,
     leaving_header: "target-leaving",
     cancels_by_request: true,
     health_path: "/.target/health",
--- a/crates/router/src/calls/target_state.rs
+++ b/crates/router/src/calls/target_state.rs
@@ -47,6 +47,11 @@
         self.process(Input::Gate(gate::Input::LoadNotReported));
     }
 
+    /// Handles that a connection to a target was refused or broke off.
+    pub fn handle_target_connection_failed(&mut self, target: gate::target::TargetIncarnation) {
+        self.process(Input::Gate(gate::Input::ConnectionFailed(target)));
+    }
+
     /// Sets whether the failure domain of this host is evacuated.
     pub fn set_evacuated(&mut self, evacuated: bool) {
         self.process(Input::Gate(gate::Input::Evacuated(evacuated)));
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -30,6 +30,7 @@
     platform_silence: Gauge<f64>,
     evacuated_domains: Gauge<u64>,
     evacuated: Gauge<u64>,
+    target_cold: Gauge<f64>,
     _provider: SdkMeterProvider,
 }
 
@@ -59,6 +60,7 @@
             .f64_gauge("pollenrouter_platform_silence_seconds")
             .build(),
         evacuated_domains: meter.u64_gauge("pollenrouter_evacuated_domains").build(),
+        target_cold: meter.f64_gauge("pollenrouter_target_cold_seconds").build(),
         evacuated: meter.u64_gauge("pollenrouter_gate_evacuated").build(),
         _provider: provider,
     };
@@ -127,6 +129,11 @@
             .record(to_seconds(report.silent_ms), &[]);
     }
 
+    /// Sets the gauge for the time for which the target stays cold.
+    pub fn record_cold(&self, remaining: Duration) {
+        self.target_cold.record(remaining.as_secs_f64(), &[]);
+    }
+
     /// Sets the gauges for the number of evacuated failure domains, and for whether that of this
     /// host is one of them.
     pub fn record_evacuations(&self, domains: usize, is_own_evacuated: bool) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -41,6 +41,8 @@
     service: Option<id::ServiceName>,
     /// Rate and leaving, as last stated by the target.
     stated: (StatedRate, bool),
+    /// Whether the target was cold when it was last logged.
+    is_target_cold: bool,
     daemon_commands: mpsc::Sender<daemon::Command>,
     target_commands: mpsc::Sender<target::Command>,
     probe_bucket: bucket::Bucket,
@@ -69,6 +71,7 @@
             calls,
             service: None,
             stated: Default::default(),
+            is_target_cold: false,
             daemon_commands,
             target_commands,
             probe_bucket: bucket::Bucket::default(),
@@ -195,6 +198,9 @@
                 self.handle_statement(statement);
             }
             target::Event::LoadUnavailable => self.calls.handle_load_unavailable(),
+            target::Event::ConnectionFailed(target) => {
+                self.calls.handle_target_connection_failed(target);
+            }
             target::Event::CallFinished(id, outcome, answer) => {
                 self.record_call_end(id, outcome);
                 self.calls.handle_finished(id, outcome, answer);
--- a/crates/router/src/router/rounds.rs
+++ b/crates/router/src/router/rounds.rs
@@ -1,5 +1,6 @@
 //! What the router does in each gossip round.
 
+use log::info;
 use pollenrouter_core::bucket;
 use pollenrouter_target::message as target;
 
@@ -21,6 +22,7 @@
             .record_gauges(&hint, recorded_calls, members);
         let staleness = self.fleet.staleness();
         self.calls.instruments().record_staleness(staleness);
+        self.report_cold_target();
         let evacuated_domains = self.fleet.evacuations().iter().count();
         let is_evacuated = self.calls.gate().is_evacuated();
         self.calls
@@ -28,6 +30,25 @@
             .record_evacuations(evacuated_domains, is_evacuated);
     }
 
+    /// Logs when the target becomes cold or warm, and records how long it stays cold.
+    fn report_cold_target(&mut self) {
+        let remaining = self.calls.gate().cold_remaining(self.calls.now());
+        self.calls
+            .instruments()
+            .record_cold(remaining.unwrap_or_default());
+        if remaining.is_some() == self.is_target_cold || self.service.is_none() {
+            return;
+        }
+        self.is_target_cold = remaining.is_some();
+        match remaining {
+            Some(remaining) => {
+                let remaining_ms = remaining.as_millis();
+                info!(remaining_ms; "the target is cold, its calls are paced");
+            }
+            None => info!("the target is warm"),
+        }
+    }
+
     /// Probes the target if this daemon's share of the service's probe budget allows it.
     fn probe_target(&mut self) {
         if self.calls.gate().is_evacuated() {
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -25,6 +25,7 @@
         "own": json!({
             "incarnation": format!("{:x}", calls.gate().incarnation()),
             "load": gate_load(&calls.gate().hint(calls.now())),
+            "cold_ms": calls.gate().cold_remaining(calls.now()).map(|left| left.as_millis()),
             "evacuated": calls.gate().is_evacuated(),
             "departures_known": calls.gate().knows_departures(),
             "remembered_calls": calls.gate().record_count(),
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -66,6 +66,8 @@
     Stated(gate::statement::Statement),
     /// The target did not report its load when asked.
     LoadUnavailable,
+    /// A connection to this target was refused or broke off.
+    ConnectionFailed(gate::target::TargetIncarnation),
     /// A call to the target has ended.
     CallFinished(
         id::CallId,
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -1,5 +1,7 @@
 //! Sends calls to the target, each at most once.
 
+mod statement;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net;
@@ -13,9 +15,8 @@
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use log::warn;
 use pollenrouter_core::call::Refusal;
-use pollenrouter_core::gate::statement::{StatedRate, Statement};
+use pollenrouter_core::gate::statement::Statement;
 use pollenrouter_core::gate::target::TargetIncarnation;
-use pollenrouter_core::rate::RateLimit;
 use pollenrouter_core::{gate, http_message, id};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_http::convention::Convention;
@@ -49,6 +50,14 @@
 pub type Sink = Rc<dyn Fn(Event) -> Result<(), Event>>;
 type Answer = (http_message::ResponseHead, Bytes);
 
+/// Why a request of the daemon itself got no response.
+enum NoReply {
+    /// The connection was refused or broke off.
+    ConnectionFailed,
+    /// Another reason.
+    Other,
+}
+
 /// Sends calls to the target that announced itself last.
 #[derive(Clone)]
 pub struct Sender {
@@ -61,8 +70,8 @@
     /// How long to wait for an answer after the call's deadline.
     answer_wait: Duration,
     answer_memory: Rc<body::Memory>,
-    /// Value of the rate limit header that was last found unreadable.
-    unreadable_rate: Rc<RefCell<Option<HeaderValue>>>,
+    /// Value that was last found unreadable of each header that states something.
+    unreadable: Rc<RefCell<HashMap<&'static str, HeaderValue>>>,
     sink: Sink,
 }
 
@@ -78,7 +87,7 @@
             clock,
             answer_wait,
             answer_memory: Rc::default(),
-            unreadable_rate: Rc::default(),
+            unreadable: Rc::default(),
             sink,
         }
     }
@@ -162,10 +171,15 @@
         let (response, connection) = match sent {
             Ok(Ok(sent)) => sent,
             Ok(Err(client::ClientError::Connect(..))) => {
+                self.report_connection_failure(&call.target).await;
                 return Err(gate::Outcome::NotStarted(Refusal::Unreachable));
             }
             Err(_) => return Err(self.log_lost(&call, "no answer in time")),
             Ok(Err(client::ClientError::ConnectionLost(err))) => {
+                // A target that answers with something else than HTTP has not restarted.
+                if !err.is_parse() {
+                    self.report_connection_failure(&call.target).await;
+                }
                 return Err(self.broken_off(&client, &call, &err.to_string()).await);
             }
         };
@@ -185,6 +199,7 @@
         let body = match body {
             Ok(body) => body,
             Err(body::BodyError::Incomplete(reason)) => {
+                self.report_connection_failure(&call.target).await;
                 return Err(self.broken_off(&client, &call, &reason).await);
             }
             Err(err) => return Err(self.log_lost(&call, &err.to_string())),
@@ -238,35 +253,6 @@
         answered_id.as_ref() == sent_id || !is_required && answered_id.is_none()
     }
 
-    /// What the headers of an answer state about the target.
-    fn read_statement(&self, headers: &HeaderMap) -> Statement {
-        let leaving = headers.get(self.convention.leaving_header);
-        Statement {
-            rate: self.read_rate(headers),
-            leaving: leaving.is_some_and(|value| value == "1"),
-            ..Statement::default()
-        }
-    }
-
-    fn read_rate(&self, headers: &HeaderMap) -> StatedRate {
-        let (name, parse) = self.convention.rate_limit_header;
-        let mut values = headers.get_all(name).iter();
-        let Some(value) = values.next() else {
-            return StatedRate::None;
-        };
-        let calls = value.to_str().ok().and_then(parse);
-        let limit = calls.and_then(RateLimit::per_second);
-        if let Some(limit) = limit.filter(|_| values.next().is_none()) {
-            return StatedRate::Limit(limit);
-        }
-        let mut unreadable = self.unreadable_rate.borrow_mut();
-        if unreadable.as_ref() != Some(value) {
-            warn!(value:? = value; "the target names a rate that cannot be read");
-            *unreadable = Some(value.clone());
-        }
-        StatedRate::Unreadable
-    }
-
     /// Outcome of a call whose connection broke: the target has ended if it accepts no other.
     async fn broken_off(
         &self,
@@ -353,7 +339,11 @@
         let asked_at = (self.clock)();
         let reply =
             self.send_without_body(Method::GET, self.convention.health_path, LOAD_QUERY_TIMEOUT);
-        let parts = reply.await;
+        let reply = reply.await;
+        if let Err(NoReply::ConnectionFailed) = reply {
+            self.report_connection_failure(&target).await;
+        }
+        let parts = reply.ok();
         if let Some(parts) = &parts {
             let statement = Statement {
                 target,
@@ -375,7 +365,11 @@
     /// Sends a request without a body; returns whether the target replied with success.
     async fn request_succeeds(&self, method: Method, path: &str) -> bool {
         let reply = self.send_without_body(method, path, PROBE_TIMEOUT).await;
-        reply.is_some_and(|parts| parts.status.is_success())
+        reply.is_ok_and(|parts| parts.status.is_success())
+    }
+
+    async fn report_connection_failure(&self, target: &TargetIncarnation) {
+        self.emit(Event::ConnectionFailed(target.clone())).await;
     }
 
     /// Sends a request without a body; returns the head of the response, if one arrived.
@@ -384,8 +378,8 @@
         method: Method,
         path: &str,
         timeout: Duration,
-    ) -> Option<Parts> {
-        let client = self.client.borrow().clone()?;
+    ) -> Result<Parts, NoReply> {
+        let client = self.client.borrow().clone().ok_or(NoReply::Other)?;
         let request = Request::builder()
             .method(method)
             .uri(path)
@@ -393,8 +387,12 @@
             .header(PROBE_HEADER, "1")
             .body(Full::new(Bytes::new()));
         let exchange = async {
-            let sent = client.send(request.ok()?, client::IDLE_MAX).await;
-            let (response, connection) = sent.ok()?;
+            let request = request.map_err(|_| NoReply::Other)?;
+            let sent = client.send(request, client::IDLE_MAX).await;
+            let (response, connection) = sent.map_err(|err| match err {
+                client::ClientError::ConnectionLost(err) if err.is_parse() => NoReply::Other,
+                _ => NoReply::ConnectionFailed,
+            })?;
             let (parts, body) = response.into_parts();
             let body = body::read(body, PROBE_BODY_MAX_BYTES, timeout).await;
             // A connection can be reused only if nothing is left to read and the response is not
@@ -402,9 +400,10 @@
             if body.is_ok() && self.echoed(&parts.headers).is_none() {
                 connection.return_to_pool();
             }
-            Some(parts)
+            Ok(parts)
         };
-        time::timeout(timeout, exchange).await.ok()?
+        let reply = time::timeout(timeout, exchange).await;
+        reply.unwrap_or(Err(NoReply::Other))
     }
 
     fn build_request(
