Take in evacuations and the pacing of cold targets

Where the configuration states what a cold target bears, its gate paces calls by that. The speed of a target that states that it is cold now follows its latest statement.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -127,6 +127,8 @@
         QuotaUsed { display("the quota of the organisation is used up") }
         /// Calls that cost callers more to refuse take the room.
         Displaced { display("more urgent calls took the room") }
+        /// The failure domain of the gate is evacuated.
+        Evacuated { display("the failure domain of the target is evacuated") }
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -53,6 +53,16 @@
     pub failure_domain: id::DomainName,
     /// Whether the gate accepts new calls.
     pub serving: bool,
+    /// Whether the failure domain is evacuated; then the gate accepts none either.
+    pub evacuated: bool,
+}
+
+impl Member {
+    /// Whether the gate may be offered calls.
+    #[must_use]
+    pub fn is_available(&self) -> bool {
+        self.serving && !self.evacuated
+    }
 }
 
 /// A caller's request, with the settings of the service document applied.
--- a/crates/core/src/entry/returns.rs
+++ b/crates/core/src/entry/returns.rs
@@ -22,7 +22,7 @@
     pub fn retry_after(&mut self, now: Duration, service: &id::ServiceName) -> Duration {
         let gates = self.gates.iter();
         let loads: Vec<&selection::Load> = gates
-            .filter(|(member, _)| member.service == *service && member.serving)
+            .filter(|(member, _)| member.service == *service && member.is_available())
             .map(|(_, load)| load)
             .collect();
         let expected_waits = loads.iter().map(|load| load.expected_wait(now));
@@ -54,7 +54,7 @@
     ) -> Duration {
         let gates = self.gates.iter();
         let loads: Vec<&selection::Load> = gates
-            .filter(|(member, _)| member.service == *service && member.serving)
+            .filter(|(member, _)| member.service == *service && member.is_available())
             .map(|(_, load)| load)
             .collect();
         let expected_waits = loads.iter().map(|load| load.expected_wait(now));
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -7,6 +7,8 @@
 
 mod admission;
 mod answer_cache;
+mod availability;
+mod cold;
 mod completion;
 mod dispatch;
 mod known_calls;
@@ -23,10 +25,8 @@
 
 use crate::call::{self, Refusal, Reply};
 use crate::fingerprint;
-use crate::hint;
 use crate::id;
 use crate::queue;
-use crate::rate::RateLimit;
 use crate::records::{self, State};
 use crate::service;
 use crate::service_times;
@@ -107,12 +107,16 @@
     LoadReported(LoadReport),
     /// The target did not report its load on request.
     LoadNotReported,
+    /// A connection to this target was refused or broke off: the target may have restarted.
+    ConnectionFailed(target::TargetIncarnation),
     /// Departures before this daemon's start are known; calls may start from now on.
     DeparturesLoaded,
     /// A service document came into force.
     Document(service::Service),
     /// The requests that must not be sent to the target, or only one at a time.
     Quarantine(quarantine::Trials),
+    /// Whether the failure domain of the gate is evacuated.
+    Evacuated(bool),
     /// The daemon is about to stop.
     Drain,
     /// Time has passed.
@@ -165,9 +169,11 @@
     targets: target::Targets,
     speed_tracker: speed::SpeedTracker,
     pacing: pacing::Pacing,
+    cold: cold::Cold,
     announcement_ttl: Duration,
     departures_loaded: bool,
     draining: bool,
+    evacuated: bool,
     quarantined: quarantine::Trials,
     /// Rank of the most urgent calls that were delayed recently, and when the latest was.
     latest_delay: Option<(u8, Duration)>,
@@ -196,9 +202,11 @@
             targets: target::Targets::default(),
             speed_tracker: speed::SpeedTracker::default(),
             pacing: pacing::Pacing::default(),
+            cold: cold::Cold::default(),
             announcement_ttl: ANNOUNCEMENT_TTL,
             departures_loaded: true,
             draining: false,
+            evacuated: false,
             quarantined: quarantine::Trials::new(),
             latest_delay: None,
             waiting: Vec::new(),
@@ -242,20 +250,19 @@
             Input::Query(query) => self.handle_query(query, &mut out),
             Input::Withdraw(query) => self.handle_withdrawal(query, &mut out),
             Input::Finished(id, outcome) => self.handle_finished(now, id, outcome, &mut out),
-            Input::Announced(announcement) => self.targets.apply_announcement(now, announcement),
+            Input::Announced(announcement) => self.apply_announcement(now, announcement),
             Input::Departed(incarnation) => self.targets.apply_departure(incarnation),
             Input::Stated(statement) => self.apply_statement(now, &statement),
             Input::LoadReported(report) => {
-                let is_cold = self
-                    .targets
-                    .current()
-                    .is_some_and(|target| target.is_cold(now));
+                let is_cold = self.states_cold(now);
                 self.speed_tracker.record_report(now, report, is_cold);
             }
             Input::LoadNotReported => self.speed_tracker.record_missing_report(now),
             Input::DeparturesLoaded => self.departures_loaded = true,
             Input::Document(document) => self.document = Some(document),
             Input::Quarantine(trials) => self.set_quarantined(trials, &mut out),
+            Input::ConnectionFailed(target) => self.apply_connection_failure(now, &target),
+            Input::Evacuated(evacuated) => self.set_evacuated(now, evacuated),
             Input::Drain => self.draining = true,
             Input::Tick => self.expire_answers(now, &mut out),
         }
@@ -292,32 +299,6 @@
         self.records.len()
     }
 
-    /// Service of the target, or `None` if the gate accepts no calls at present: the target
-    /// has not announced itself recently or is leaving, or the daemon is not ready.
-    #[must_use]
-    pub fn active_service(&self, now: Duration) -> Option<&id::ServiceName> {
-        self.current_refusal(now)
-            .is_none()
-            .then_some(())
-            .and(self.targets.current())
-            .map(|target| &target.announcement.service)
-    }
-
-    /// Whether it is too early to tell if the gate will accept calls: earlier departures
-    /// are not known yet, or the target may still announce itself for the first time.
-    /// `now` counts from the daemon's start.
-    #[must_use]
-    pub fn is_starting(&self, now: Duration) -> bool {
-        let awaits_target = self.targets.current().is_none() && now <= self.announcement_ttl;
-        !self.departures_loaded || awaits_target
-    }
-
-    /// Whether the departures before this daemon's start are known; until then no call starts.
-    #[must_use]
-    pub fn knows_departures(&self) -> bool {
-        self.departures_loaded
-    }
-
     /// Digest of the request with this id.
     #[must_use]
     pub fn fingerprint(&self, id: id::CallId) -> Option<id::Fingerprint> {
@@ -341,26 +322,6 @@
         self.targets.has_departed(incarnation)
     }
 
-    /// Load of the gate for entries.
-    #[must_use]
-    pub fn hint(&self, now: Duration) -> hint::Hint {
-        let failed = self.outcomes.iter().filter(|failed| **failed).count();
-        hint::Hint {
-            running: saturating_u32(self.running.len()),
-            waiting: saturating_u32(self.waiting.len()),
-            slots: self.open_slots(now),
-            mean_service_time: self.service_times.overall_mean(),
-            slowness: self.speed_tracker.slowness(now),
-            rate_wait: self.rate_wait(now, saturating_u32(self.waiting.len())),
-            rate_interval: self
-                .rate_limit()
-                .map_or(Duration::ZERO, RateLimit::interval),
-            failing: saturating_u32(failed) * 2 > OUTCOME_WINDOW,
-            leaving: self.current_refusal(now) == Some(Refusal::Draining),
-            closed: self.current_refusal(now).is_some() || self.document.is_none(),
-        }
-    }
-
     fn remove_waiting(&mut self, id: id::CallId) {
         self.waiting.retain(|w| w.id != id);
     }
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -29,6 +29,9 @@
     table_version: Gauge<u64>,
     table_age: Gauge<f64>,
     platform_silence: Gauge<f64>,
+    evacuated_domains: Gauge<u64>,
+    evacuated: Gauge<u64>,
+    target_cold: Gauge<f64>,
     _provider: SdkMeterProvider,
 }
 
@@ -58,6 +61,9 @@
         platform_silence: meter
             .f64_gauge("pollenrouter_platform_silence_seconds")
             .build(),
+        evacuated_domains: meter.u64_gauge("pollenrouter_evacuated_domains").build(),
+        target_cold: meter.f64_gauge("pollenrouter_target_cold_seconds").build(),
+        evacuated: meter.u64_gauge("pollenrouter_gate_evacuated").build(),
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -133,6 +139,18 @@
         self.platform_silence
             .record(to_seconds(report.silent_ms), &[]);
     }
+
+    /// Sets the gauge for the time for which the target stays cold.
+    pub fn record_cold(&self, remaining: Duration) {
+        self.target_cold.record(remaining.as_secs_f64(), &[]);
+    }
+
+    /// Sets the gauges for the number of evacuated failure domains, and for whether that of this
+    /// host is one of them.
+    pub fn record_evacuations(&self, domains: usize, is_own_evacuated: bool) {
+        self.evacuated_domains.record(domains as u64, &[]);
+        self.evacuated.record(is_own_evacuated.into(), &[]);
+    }
 }
 
 fn label_value(text: &str) -> Value {
