Quotas of organisations hold over all daemons

The tables name quotas, and nothing enforced them. Up to four holders for each organisation, by rendezvous hashing, now grant tokens out of token buckets with equal shares; entries ask them, use tokens for at most 500 ms from the sending of the request, and return the others. A returned token is credited as if it had never been granted: crediting up to the depth alone would let a bucket that has filled up meanwhile be emptied twice in one window.

A holder's bucket is two tokens deeper than its share of the burst, and 12 hosts (not 16) may admit one call a window without a token.

A waiting call whose request cannot be sent goes to the next holder at once, and one without a reply after 150 ms. Without quotas in the table there is no state, and no message is sent.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -125,6 +125,8 @@
         UnknownKey { display("no organisation holds this key") }
         /// The organisation has used up its quota.
         QuotaUsed { display("the quota of the organisation is used up") }
+        /// No holder of the organisation's quota could be asked.
+        QuotaUnknown { display("no holder of the organisation's quota is reachable") }
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod probe_share;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod rate;
 pub mod records;
 pub mod replica;
--- /dev/null
+++ b/crates/core/src/quota/holder.rs
@@ -0,0 +1,202 @@
+//! A holder: grants tokens out of its share of each organisation's quota.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::bucket::{Bucket, Share};
+use super::view::{Host, View};
+use super::{Ask, Grant, HOLD_OFF, Settings};
+use crate::id;
+use crate::organisation::Quota;
+
+/// Interval at which unused buckets are dropped.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Input of a holder.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// An entry asks for tokens, or returns some; with the quota by the holder's table.
+    Ask(id::HostName, Ask, Option<Quota>),
+    /// The present members.
+    Members(Vec<Host>),
+    /// Time has passed.
+    Tick,
+}
+
+/// Action that the embedder has to carry out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Reply to an entry.
+    Grant(id::HostName, Grant),
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    bucket: Bucket,
+    share: Share,
+    /// Since when this host has been a holder.
+    since: Duration,
+    /// Generation of the view that `since` was determined with.
+    generation: u64,
+    asked_at: Duration,
+}
+
+/// State of one holder.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    host: id::HostName,
+    settings: Settings,
+    view: View,
+    held: BTreeMap<id::OrganisationName, Held>,
+    latest_stamp: u64,
+    swept_at: Duration,
+}
+
+impl Holder {
+    /// A holder that knows no members yet. Stamps begin at half of the random number `seed`, so
+    /// that tokens of an earlier incarnation are not credited.
+    #[must_use]
+    pub fn new(host: id::HostName, seed: u64, settings: Settings) -> Self {
+        Self {
+            host,
+            settings,
+            view: View::default(),
+            held: BTreeMap::new(),
+            latest_stamp: seed / 2,
+            swept_at: Duration::ZERO,
+        }
+    }
+
+    /// Processes one input and returns the actions to carry out, in order.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        match input {
+            Input::Ask(from, ask, quota) => {
+                let grant = self.ask(now, ask, quota);
+                let grants = grant
+                    .into_iter()
+                    .map(|grant| Output::Grant(from.clone(), grant));
+                return grants.collect();
+            }
+            Input::Members(hosts) => {
+                self.view.replace(now, hosts);
+            }
+            Input::Tick => self.sweep(now),
+        }
+        Vec::new()
+    }
+
+    /// Number of organisations with a bucket.
+    #[must_use]
+    pub fn organisations(&self) -> usize {
+        self.held.len()
+    }
+
+    fn ask(&mut self, now: Duration, ask: Ask, quota: Option<Quota>) -> Option<Grant> {
+        let (id, wanted) = (ask.id, ask.wanted);
+        let organisation = ask.organisation.clone();
+        let (granted, next_in, is_holder) = match self.grant(now, ask, quota) {
+            Ok((granted, next_in)) => (granted, next_in, true),
+            Err(wait) => (0, wait, false),
+        };
+        (wanted > 0).then_some(Grant {
+            id,
+            organisation,
+            granted,
+            stamp: self.latest_stamp,
+            next_in,
+            is_holder,
+        })
+    }
+
+    /// Tokens granted, and the time until the next one; or the time after which this host may be
+    /// a holder that grants.
+    fn grant(
+        &mut self,
+        now: Duration,
+        ask: Ask,
+        quota: Option<Quota>,
+    ) -> Result<(u32, Duration), Duration> {
+        let (needed, wanted) = (ask.needed, ask.wanted);
+        let stamp = self.latest_stamp + 1;
+        let (returned, organisation) = (ask.returned, ask.organisation);
+        let latest_stamp = self.latest_stamp;
+        let held = self.held(now, &organisation, quota)?;
+        held.asked_at = now;
+        held.bucket.refill(now, held.share);
+        for returned in returned.iter().filter(|r| r.stamp <= latest_stamp) {
+            held.bucket
+                .credit(held.share, returned.stamp, returned.count);
+        }
+        let tokens = held.bucket.tokens();
+        let for_waiting = needed.min(tokens);
+        // Tokens for calls that are only expected leave as many to other entries.
+        let expected = wanted.saturating_sub(needed);
+        let granted = for_waiting + expected.min((tokens - for_waiting) / 2);
+        held.bucket.take(stamp, granted);
+        let next_in = held.bucket.next_in(held.share);
+        self.latest_stamp = stamp;
+        Ok((granted, next_in))
+    }
+
+    /// The bucket of an organisation, if this host may grant tokens of it.
+    fn held(
+        &mut self,
+        now: Duration,
+        organisation: &id::OrganisationName,
+        quota: Option<Quota>,
+    ) -> Result<&mut Held, Duration> {
+        let count = self.settings.holders();
+        let Some(quota) = quota else {
+            self.held.remove(organisation);
+            return Err(HOLD_OFF);
+        };
+        let generation = self.view.generation();
+        let known = self.held.get(organisation);
+        if known.is_none_or(|held| held.generation != generation) {
+            let Some(since) = self.view.holder_since(organisation, count, &self.host) else {
+                self.held.remove(organisation);
+                return Err(HOLD_OFF);
+            };
+            let holders = self.view.holders(organisation, count).len();
+            let share = Share {
+                quota,
+                holders: u32::try_from(holders).unwrap_or(1),
+                extra: self.settings.extra_depth(),
+            };
+            // A bucket from before an interruption is dropped.
+            let kept = self.held.remove(organisation);
+            let kept = kept.filter(|held| since <= held.asked_at);
+            let held = Held {
+                bucket: kept
+                    .as_ref()
+                    .map_or_else(|| Bucket::new(since + HOLD_OFF), |held| held.bucket.clone()),
+                share,
+                since: kept.map_or(since, |held| held.since),
+                generation,
+                asked_at: now,
+            };
+            self.held.insert(organisation.clone(), held);
+        }
+        let Some(held) = self.held.get_mut(organisation) else {
+            return Err(HOLD_OFF);
+        };
+        held.share.quota = quota;
+        let starts_at = held.since + HOLD_OFF;
+        if now < starts_at {
+            return Err(starts_at.saturating_sub(now));
+        }
+        Ok(held)
+    }
+
+    /// Drops full buckets, which are the same when they are created again.
+    fn sweep(&mut self, now: Duration) {
+        if now < self.swept_at + SWEEP_INTERVAL {
+            return;
+        }
+        self.swept_at = now;
+        self.held.retain(|_, held| {
+            held.bucket.refill(now, held.share);
+            now < held.asked_at + SWEEP_INTERVAL || !held.bucket.is_full(held.share)
+        });
+    }
+}
--- a/crates/core/src/rate.rs
+++ b/crates/core/src/rate.rs
@@ -37,6 +37,12 @@
         })
     }
 
+    /// Calls per thousand seconds.
+    #[must_use]
+    pub fn per_1000_s(self) -> u32 {
+        self.calls_per_1000_s
+    }
+
     /// Time between two calls at this rate.
     #[must_use]
     pub fn interval(self) -> Duration {
--- a/crates/core/src/startup_sync.rs
+++ b/crates/core/src/startup_sync.rs
@@ -43,6 +43,12 @@
         self.has_peer_sync = true;
     }
 
+    /// Whether the members were read from the platform or sent by another daemon.
+    #[must_use]
+    pub fn knows_members(self) -> bool {
+        self.has_listed || self.has_peer_sync
+    }
+
     /// Counts a gossip round; rounds before the registration are not counted.
     pub fn on_round(&mut self) {
         self.rounds += u32::from(self.is_registered);
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use pollenrouter_core::entry::Sent;
-use pollenrouter_core::{call, id};
+use pollenrouter_core::{call, id, quota};
 use quick_error::quick_error;
 use serde::Serialize;
 use tokio::sync::Mutex;
@@ -141,6 +141,13 @@
                         (client.sink)(Event::Reachable(peer.host));
                     }
                 }
+                Command::Ask(peer, from, ask) => client.send_ask(peer, from, ask).await,
+                Command::Grant(peer, from, grant) => {
+                    // The entry asks the next holder after a time-out.
+                    let _ = client
+                        .notify(&peer, &NotificationHead::Grant(from, grant))
+                        .await;
+                }
                 Command::Replicate(peer, gossip) => {
                     let objects = gossip.objects.clone();
                     if client
@@ -187,6 +194,14 @@
         self.run_rpc(peer, query.id, &head, &Bytes::new()).await;
     }
 
+    async fn send_ask(&self, peer: Peer, from: id::HostName, ask: quota::Ask) {
+        let (organisation, id) = (ask.organisation.clone(), ask.id);
+        let sent = self.notify(&peer, &NotificationHead::Ask(from, ask)).await;
+        if sent.is_err() {
+            (self.sink)(Event::AskFailed(peer.host, organisation, id));
+        }
+    }
+
     /// Sends an offer or a query, and reports the gate's reply or the failure as an event.
     async fn run_rpc(&self, peer: Peer, id: id::CallId, head: &RpcHead, body: &Bytes) {
         let event = match self.round_trip(&peer, head, body).await {
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use pollenrouter_core::gate::statement::TargetNotice;
-use pollenrouter_core::{call, hint, http_message};
+use pollenrouter_core::{call, hint, http_message, id, quota};
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,10 @@
 pub const BODY_MAX_BYTES: u64 = 64 << 20;
 
 /// Head of a message that expects a reply, sent on a bidirectional stream.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a head is encoded at once and never stored"
+)]
 #[derive(Debug, Serialize, Deserialize)]
 pub enum RpcHead {
     /// Offers a call; the request's body follows.
@@ -40,6 +44,10 @@
     Gossip(message::Gossip),
     /// Carries nothing: the acknowledgement shows that the daemon is reachable.
     Probe,
+    /// Asks a holder for tokens, or returns some; with the host of the sender.
+    Ask(id::HostName, quota::Ask),
+    /// Replies to a request for tokens; with the host of the sender.
+    Grant(id::HostName, quota::Grant),
 }
 
 /// Head of a reply; the body of the answer follows, if there is one.
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use pollenrouter_core::gate::statement::TargetNotice;
-use pollenrouter_core::{call, entry, hint, http_message, id, replica};
+use pollenrouter_core::{call, entry, hint, http_message, id, quota, replica};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
@@ -85,6 +85,10 @@
     Replicate(Peer, Gossip),
     /// Check whether a daemon is reachable.
     Probe(Peer),
+    /// Ask a holder for tokens in the name of this host; a failure is reported.
+    Ask(Peer, id::HostName, quota::Ask),
+    /// Reply to a request for tokens in the name of this host; nothing is reported.
+    Grant(Peer, id::HostName, quota::Grant),
 }
 
 /// Channel for the reply to a received offer or query.
@@ -111,4 +115,10 @@
     Unreachable(id::HostName),
     /// A daemon received a probe.
     Reachable(id::HostName),
+    /// The entry of another daemon asks for tokens.
+    AskReceived(id::HostName, quota::Ask),
+    /// A holder replied to a request for tokens.
+    GrantReceived(id::HostName, quota::Grant),
+    /// A request for tokens, with this number, did not reach the holder.
+    AskFailed(id::HostName, id::OrganisationName, u64),
 }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -138,6 +138,9 @@
         NotificationHead::Withdraw(query) => sink(Event::WithdrawalReceived(query)),
         NotificationHead::Gossip(gossip) => sink(Event::GossipReceived(gossip)),
         NotificationHead::Probe => true,
+        // If the event queue is full, the entry asks the next holder after a time-out.
+        NotificationHead::Ask(host, ask) => sink(Event::AskReceived(host, ask)),
+        NotificationHead::Grant(host, grant) => sink(Event::GrantReceived(host, grant)),
     };
     Ok(())
 }
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -15,6 +15,7 @@
 use pollenrouter_core::hint::Hint;
 use pollenrouter_core::http_message::{RequestHead, ResponseHead};
 use pollenrouter_core::id::CallId;
+use pollenrouter_core::quota::{Ask, Grant, Returned};
 use pollenrouter_daemon::keys::{self, Keys};
 use pollenrouter_daemon::message::{Answer, Command, Event, GateReply, Peer, Request};
 use pollenrouter_daemon::{protocol, tls};
@@ -162,6 +163,7 @@
         service: "seats".into(),
         route: "assign".into(),
         depth: 0,
+        organisation: "org".into(),
         rank: 0,
         remaining: Duration::from_secs(1),
         objective: Duration::from_secs(1),
@@ -326,3 +328,57 @@
         "{lost:?}"
     );
 }
+
+fn ask() -> Ask {
+    Ask {
+        id: 5,
+        organisation: "org".into(),
+        needed: 1,
+        wanted: 2,
+        returned: vec![Returned { stamp: 3, count: 1 }],
+    }
+}
+
+/// Guards against requests for tokens or replies that arrive changed or not at all.
+#[test]
+fn a_request_for_tokens_and_its_grant_arrive_unchanged() {
+    let keys = generate_keys(2);
+    let (holder, entry) = (start(&keys[0], SERVER_INCARNATION), start(&keys[1], 8));
+    entry.send(Command::Ask(peer_at(holder.address), "entry".into(), ask()));
+    let Event::AskReceived(from, received) = holder.next_event() else {
+        panic!("request must arrive");
+    };
+    assert_eq!((from.as_str(), received), ("entry", ask()));
+    let grant = Grant {
+        id: 5,
+        organisation: "org".into(),
+        granted: 2,
+        stamp: 9,
+        next_in: Duration::from_millis(200),
+        is_holder: true,
+    };
+    let to = peer_at(entry.address);
+    holder.send(Command::Grant(to, "holder".into(), grant.clone()));
+    let Event::GrantReceived(from, received) = entry.next_event() else {
+        panic!("grant must arrive");
+    };
+    assert_eq!((from.as_str(), received), ("holder", grant));
+}
+
+/// Guards against calls that wait for a holder that cannot be reached.
+#[test]
+fn a_request_for_tokens_that_is_not_delivered_is_reported() {
+    let keys = generate_keys(1);
+    let entry = start(&keys[0], 8);
+    // Nothing answers on this socket.
+    let silent = UdpSocket::bind("127.0.0.1:0").expect("socket must bind");
+    let address = silent.local_addr().expect("socket must have an address");
+    entry.send(Command::Ask(peer_at(address), "entry".into(), ask()));
+    let Event::AskFailed(host, organisation, id) = entry.next_event() else {
+        panic!("failure must be reported");
+    };
+    assert_eq!(
+        (host.as_str(), organisation.as_str(), id),
+        ("gate", "org", 5)
+    );
+}
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of a daemon.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use pollenrouter_core::id;
 use pollenrouter_core::service::Limits;
+use pollenrouter_core::{id, quota};
 use smol_str::SmolStr;
 
 use crate::document;
@@ -22,6 +23,12 @@
 /// Part of the grace period that is reserved for sending the last responses before the stop is
 /// enforced.
 const GRACE_MARGIN: Duration = Duration::from_millis(900);
+/// Bounds of the window that quotas refer to, seconds.
+const QUOTA_WINDOW_S: RangeInclusive<f64> = 1.0..=3600.0;
+/// Bounds of the overshoot. Tokens live for this part of the window: with less than 0.02, at
+/// 1 s, they would expire within a few round trips between failure domains.
+const QUOTA_OVERSHOOT: RangeInclusive<f64> = 0.02..=1.0;
+const QUOTA_SLACK_MAX: u64 = 100_000;
 const STOP_TIMEOUT_MAX_MS: u64 = 3_600_000;
 
 /// Checked settings.
@@ -49,6 +56,8 @@
     pub keys: Option<Keys>,
     /// Limits of services whose configuration states none.
     pub limits: Limits,
+    /// How strictly the quotas of organisations are kept.
+    pub quota: quota::Settings,
     /// Maximum time to wait for calls in flight during a planned stop.
     pub stop_timeout: Duration,
     /// Log level.
@@ -126,6 +135,7 @@
         Some(DEFAULT_ANSWER_WAIT_MS),
     );
     let limits = f.optional_mapping("limits", Limits::default(), document::read_limits);
+    let quota = f.optional_mapping("quota", quota::Settings::default(), read_quota);
     let stop = f.integer(
         "stop_timeout_ms",
         0..=STOP_TIMEOUT_MAX_MS,
@@ -157,6 +167,7 @@
                 ..limits?
             },
         },
+        quota: quota?,
         stop_timeout: match grace? {
             None => Duration::from_millis(stop?),
             Some(grace) => grace.saturating_sub(GRACE_MARGIN),
@@ -175,6 +186,20 @@
     Some((u32::try_from(percent).ok()?, u32::try_from(slack?).ok()?))
 }
 
+fn read_quota(f: &mut FieldReader<'_, '_>) -> Option<quota::Settings> {
+    let window = f.filled_in("window_s", |f, name| f.decimal(name, QUOTA_WINDOW_S));
+    let overshoot = f.filled_in("overshoot", |f, name| f.decimal(name, QUOTA_OVERSHOOT));
+    let slack = f.filled_in("slack", |f, name| {
+        f.integer(name, 0..=QUOTA_SLACK_MAX, None)
+    });
+    let default = quota::Settings::default();
+    Some(quota::Settings {
+        window: window?.map_or(default.window, Duration::from_secs_f64),
+        overshoot: overshoot?.unwrap_or(default.overshoot),
+        slack: slack?.map_or(Some(default.slack), |slack| u32::try_from(slack).ok())?,
+    })
+}
+
 fn read_listen(f: &mut FieldReader<'_, '_>) -> Option<ListenAddresses> {
     let public = f.parsed("public");
     let internal = f.optional("internal", FieldReader::parsed);
--- a/crates/operator/src/yaml.rs
+++ b/crates/operator/src/yaml.rs
@@ -1,5 +1,7 @@
 //! Reads YAML mappings field by field; invalid fields become findings.
 
+mod template;
+
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt::Display;
@@ -187,11 +189,10 @@
         if is_name(&text) {
             return Some(text);
         }
-        let node = self.find(name)?;
         let expected = format!(
             "is `{text}`, which is not a name of 1 to {NAME_MAX_CHARS} lower-case letters, digits and hyphens"
         );
-        self.report_at(node, name, &expected);
+        self.report(name, &expected);
         None
     }
 
@@ -247,10 +248,9 @@
         if let Some((_, value)) = found {
             return Some(*value);
         }
-        let node = self.find(name)?;
         let all: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
         let expected = format!("is `{text}` where one of {} is expected", all.join(", "));
-        self.report_at(node, name, &expected);
+        self.report(name, &expected);
         None
     }
 
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -12,7 +12,7 @@
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
 use pollenrouter_core::gate::statement::Statement;
-use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine, service};
+use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine, quota, service};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_target::message as target;
@@ -52,6 +52,8 @@
     started_at: Duration,
     /// Failure that a target answered with, kept while another target is tried.
     failure_answer: Option<Answer>,
+    /// Token of the organisation's quota, unused if the call does not run.
+    permit: Option<quota::Permit>,
     reply_to: oneshot::Sender<CallerResult>,
 }
 
@@ -89,6 +91,8 @@
     request_id_header: &'static str,
     caller_header: &'static str,
     quarantined: quarantine::Quarantined,
+    /// Tokens of calls that did not run.
+    unused_permits: Vec<quota::Permit>,
 }
 
 /// Configuration of [`Calls`].
@@ -119,6 +123,8 @@
     pub retry_slack: u32,
     /// Whether to reject the call if it cannot meet its latency objective.
     pub sheddable: bool,
+    /// Token of the organisation's quota that the call was admitted with.
+    pub permit: Option<quota::Permit>,
 }
 
 impl Calls {
@@ -158,6 +164,7 @@
             request_id_header: config.request_id_header,
             caller_header: config.caller_header,
             quarantined: quarantine::Quarantined::new(),
+            unused_permits: Vec::new(),
         }
     }
 
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -1,19 +1,20 @@
 //! Calls that come in from callers.
 
+use std::mem;
 use std::time::Duration;
 
 use log::info;
 use pollenrouter_caller::message::{Call, CallerResult, CallerResultKind};
 use pollenrouter_core::call::{Refusal, UnknownReason};
-use pollenrouter_core::{entry, fingerprint, http_message, id};
+use pollenrouter_core::{entry, fingerprint, http_message, id, quota};
 use pollenrouter_daemon::message::Request;
 use smol_str::SmolStr;
 
 use super::{Calls, Input, PendingCall, RoutedCall};
 
 impl Calls {
-    /// Refuses a call without offering it to a gate.
-    pub fn refuse(&self, call: Box<Call>, refusal: Refusal) {
+    /// Refuses a call without offering it to a gate; with the retry delay if one is known.
+    pub fn refuse(&self, call: Box<Call>, refusal: Refusal, retry_after: Option<Duration>) {
         // A call with a ticket may have run in an earlier attempt.
         let (kind, outcome) = if call.ticket.is_some() {
             (
@@ -29,7 +30,7 @@
         let result = CallerResult {
             kind,
             ticket: call.ticket,
-            retry_after: None,
+            retry_after,
         };
         // The send fails if the caller has disconnected.
         let _ = call.reply_to.send(result);
@@ -42,12 +43,14 @@
             retry_percent,
             retry_slack,
             sheddable,
+            permit,
         } = routed_call;
         let fingerprint = fingerprint::of(&call.head, &call.body, self.caller_header);
         // The gate that a ticket names may have the answer to an earlier attempt.
         if call.ticket.is_none() && self.is_quarantined(fingerprint) {
             self.log_quarantined(&call, fingerprint);
-            self.refuse(call, Refusal::CrashesTargets);
+            self.refuse(call, Refusal::CrashesTargets, None);
+            self.unused_permits.extend(permit);
             return;
         }
         let call = *call;
@@ -91,12 +94,18 @@
             service: call.service,
             started_at,
             failure_answer: None,
+            permit,
             reply_to: call.reply_to,
         };
         self.pending.insert(call.token, pending_call);
         self.process(Input::Entry(entry::Input::Call(request)));
     }
 
+    /// Returns the quota tokens of calls that did not run since the previous call.
+    pub fn take_unused_permits(&mut self) -> Vec<quota::Permit> {
+        mem::take(&mut self.unused_permits)
+    }
+
     fn log_quarantined(&self, call: &Call, fingerprint: id::Fingerprint) {
         info!(
             request:% = self.request_id(&call.head),
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -82,9 +82,12 @@
         result: CallResult,
         ticket: Option<id::Ticket>,
     ) {
-        let Some(call) = self.pending.remove(&token) else {
+        let Some(mut call) = self.pending.remove(&token) else {
             return;
         };
+        if matches!(result, CallResult::NotRun(_)) {
+            self.unused_permits.extend(call.permit.take());
+        }
         let answer = match result {
             CallResult::Answer(_) => self.reply_answer.clone(),
             CallResult::Failure(_) => self
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Whether the members of the fleet are known: this daemon has read them from the platform,
+    /// or another daemon has sent them.
+    pub fn knows_members(&self) -> bool {
+        self.is_synced && self.startup_sync.knows_members()
+    }
+
     /// Opens the gate if the departures acknowledged before this daemon started are known;
     /// otherwise requests missing objects from other daemons.
     pub(super) fn check_startup_sync(&mut self, effects: &mut Vec<Effect>) {
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -10,6 +10,7 @@
 
 use crate::error::Error;
 use crate::fleet::staleness;
+use crate::quota;
 
 const METER_NAME: &str = "pollenrouter";
 
@@ -28,6 +29,11 @@
     table_version: Gauge<u64>,
     table_age: Gauge<f64>,
     platform_silence: Gauge<f64>,
+    quota_calls: Counter<u64>,
+    quota_messages: Counter<u64>,
+    quota_tokens: Counter<u64>,
+    quota_organisations: Gauge<u64>,
+    quota_waiting: Gauge<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -56,6 +62,11 @@
         platform_silence: meter
             .f64_gauge("pollenrouter_platform_silence_seconds")
             .build(),
+        quota_calls: meter.u64_counter("pollenrouter_quota_calls").build(),
+        quota_messages: meter.u64_counter("pollenrouter_quota_messages").build(),
+        quota_tokens: meter.u64_counter("pollenrouter_quota_tokens").build(),
+        quota_organisations: meter.u64_gauge("pollenrouter_quota_organisations").build(),
+        quota_waiting: meter.u64_gauge("pollenrouter_quota_waiting").build(),
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -122,6 +133,29 @@
         self.platform_silence
             .record(to_seconds(report.silent_ms), &[]);
     }
+
+    /// Adds to the counters of quotas, and sets their gauges. A counter appears with its first
+    /// event, so that without quotas there are none.
+    pub fn record_quotas(&self, counts: &quota::Counts, sizes: &quota::Sizes) {
+        let counters = [
+            (&self.quota_calls, "outcome", "admitted", counts.admitted),
+            (&self.quota_calls, "outcome", "floor", counts.floor),
+            (&self.quota_calls, "outcome", "used-up", counts.used_up),
+            (&self.quota_calls, "outcome", "unknown", counts.unknown),
+            (&self.quota_messages, "kind", "ask", counts.asks),
+            (&self.quota_messages, "kind", "grant", counts.grants),
+            (&self.quota_tokens, "kind", "granted", counts.granted),
+            (&self.quota_tokens, "kind", "given-back", counts.given_back),
+        ];
+        for (counter, label, value, count) in counters.into_iter().filter(|c| c.3 > 0) {
+            counter.add(count, &[KeyValue::new(label, value)]);
+        }
+        self.quota_organisations
+            .record(sizes.demands as u64, &[KeyValue::new("side", "entry")]);
+        self.quota_organisations
+            .record(sizes.buckets as u64, &[KeyValue::new("side", "holder")]);
+        self.quota_waiting.record(sizes.waiting as u64, &[]);
+    }
 }
 
 fn label_value(text: &str) -> Value {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -10,6 +10,7 @@
 mod logging;
 mod platform_io;
 mod profile;
+mod quota;
 mod router;
 mod routes;
 mod status;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,7 @@
 //! The router: handles the events of a daemon one at a time, in order.
 
 mod departures;
+mod quota;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::{bucket, id, membership};
 use pollenrouter_daemon::message as daemon;
+use pollenrouter_operator::settings::Settings;
 use pollenrouter_platform::object::MemberState;
 use pollenrouter_target::message as target;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -19,6 +21,7 @@
 use crate::calls::{Calls, RoutedCall};
 use crate::event::Event;
 use crate::fleet::{Effect, Fleet};
+use crate::quota::Quotas;
 use crate::routes;
 use crate::status;
 
@@ -37,6 +40,9 @@
 pub struct Router {
     fleet: Fleet,
     calls: Calls,
+    quotas: Quotas,
+    quotas_logged_at: Duration,
+    host: id::HostName,
     service: Option<id::ServiceName>,
     /// Rate and leaving, as last stated by the target.
     stated: (StatedRate, bool),
@@ -60,18 +66,22 @@
         calls: Calls,
         daemon_commands: mpsc::Sender<daemon::Command>,
         target_commands: mpsc::Sender<target::Command>,
-        stop_timeout: Duration,
+        settings: &Settings,
         close_listeners: watch::Sender<bool>,
     ) -> Self {
+        let host = settings.host.clone();
         Self {
             fleet,
             calls,
+            quotas: Quotas::new(host.clone(), settings.quota),
+            quotas_logged_at: Duration::ZERO,
+            host,
             service: None,
             stated: Default::default(),
             daemon_commands,
             target_commands,
             probe_bucket: bucket::Bucket::default(),
-            stop_timeout,
+            stop_timeout: settings.stop_timeout,
             close_listeners,
             stopping_since: None,
             stored_departures: BTreeSet::new(),
@@ -112,6 +122,7 @@
             }
             Event::Tick => {
                 self.calls.tick();
+                self.tick_quotas();
                 self.update_quarantine();
                 self.check_overdue_departures();
                 self.close_listeners_if_due();
@@ -123,6 +134,7 @@
             }
             Event::StopRequested => self.begin_stop(),
         }
+        self.give_back_permits();
     }
 
     fn handle_caller_event(&mut self, event: caller::Event) {
@@ -134,16 +146,18 @@
                 let (retry_percent, retry_slack) =
                     limits.map_or((0, 0), |limits| (limits.retry_percent, limits.retry_slack));
                 match routes::admit(table, self.service.as_ref(), &call) {
-                    Ok(()) => self.calls.start_call(RoutedCall {
+                    Ok(()) => self.admit(RoutedCall {
                         sheddable: table
                             .is_some_and(|table| table.is_sheddable(&call.route.policy)),
                         call,
                         retry_percent,
                         retry_slack,
+                        permit: None,
                     }),
-                    Err(refusal) => self.calls.refuse(call, refusal),
+                    Err(refusal) => self.calls.refuse(call, refusal, None),
                 }
             }
+            caller::Event::Disconnected(token) if self.remove_parked(token) => {}
             caller::Event::Disconnected(token) => self.calls.handle_caller_disconnected(token),
             caller::Event::TicketRequested(service, reply_to) => {
                 // The send fails if the caller has disconnected.
@@ -180,6 +194,9 @@
                 let effects = self.fleet.on_gossip(gossip);
                 self.apply_effects(effects);
             }
+            daemon::Event::AskReceived(..)
+            | daemon::Event::GrantReceived(..)
+            | daemon::Event::AskFailed(..) => self.handle_quota_event(event),
         }
     }
 
@@ -330,6 +347,8 @@
             .record_gauges(&hint, recorded_calls, members);
         let staleness = self.fleet.staleness();
         self.calls.instruments().record_staleness(staleness);
+        self.update_quota_members();
+        self.report_quotas();
     }
 
     /// Probes the target if this daemon's share of the service's probe budget allows it.
@@ -372,6 +391,7 @@
                         .filter_map(|host| Some((host.clone(), self.fleet.peer(&host)?)))
                         .collect();
                     self.calls.set_members(members, peers);
+                    self.update_quota_members();
                 }
                 Effect::SetService(document) => {
                     if self.service.as_ref() == Some(&document.name) {
@@ -382,6 +402,7 @@
                 Effect::ApplyDeparture(incarnation) => self.calls.handle_departure(incarnation),
                 Effect::OpenGate => {
                     self.calls.handle_departures_loaded();
+                    self.update_quota_members();
                     self.update_state();
                 }
             }
@@ -417,7 +438,7 @@
             return false;
         };
         let elapsed = self.calls.now().saturating_sub(since);
-        (elapsed >= STOP_DURATION_MIN && self.calls.is_idle())
+        (elapsed >= STOP_DURATION_MIN && self.calls.is_idle() && self.quotas.is_idle())
             || elapsed >= (self.stop_timeout + LAST_REPLIES_WAIT).max(STOP_DURATION_MIN)
     }
 }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -147,7 +147,7 @@
         calls,
         to_daemons,
         to_target,
-        settings.stop_timeout,
+        settings,
         close_listeners,
     );
 
@@ -304,7 +304,7 @@
             stopping.clone(),
         ));
     }
-    let mut caller_context = build_caller_context(convention, listener_state, tx);
+    let mut caller_context = build_caller_context(&convention, listener_state, tx);
     caller_context.local_service = service;
     let audiences = [service::Audience::Everyone, service::Audience::Internal];
     let listeners = iter::once(sockets.public).chain(sockets.internal);
@@ -374,7 +374,7 @@
 }
 
 fn build_caller_context(
-    convention: Convention,
+    convention: &Convention,
     listener_state: SharedListenerState,
     tx: event::Sender,
 ) -> callers::Context {
@@ -393,7 +393,7 @@
             table.map_or_else(table::CallerLimits::default, |table| table.caller_limits)
         }),
         next_token: Arc::new(AtomicU64::new(1)),
-        convention,
+        convention: *convention,
         local_service: None,
     }
 }
