Quotas: tests of one holder, with a property test of returned tokens

Seven faults were put into the code one by one: no hold-off, grants right after a start, returns credited up to the depth, stamps of other incarnations credited, tokens that live for 5 s, a bucket kept over an interruption, a floor right after a start. The tests over the simulated fleet showed four; its slack hides the others. With the new tests each of the seven fails at least one test. They found a fault: a holder that was none for a moment and was asked in the same instant kept its bucket; it now starts anew.

--- a/crates/core/src/quota/holder.rs
+++ b/crates/core/src/quota/holder.rs
@@ -165,7 +165,7 @@
             };
             // A bucket from before an interruption is dropped.
             let kept = self.held.remove(organisation);
-            let kept = kept.filter(|held| since <= held.asked_at);
+            let kept = kept.filter(|held| since < held.asked_at);
             let held = Held {
                 bucket: kept
                     .as_ref()
--- a/crates/core/tests/quota/main.rs
+++ b/crates/core/tests/quota/main.rs
@@ -3,6 +3,7 @@
 mod entry;
 mod faults;
 mod fleet;
+mod holder;
 
 use std::time::Duration;
 
