Take in quotas of organisations over all daemons

Holders, chosen by rendezvous hashing, grant tokens with a short lifetime; entries ask for them in advance by use. Without an organisation that has a quota no message is sent.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -129,6 +129,8 @@
         Displaced { display("more urgent calls took the room") }
         /// The failure domain of the gate is evacuated.
         Evacuated { display("the failure domain of the target is evacuated") }
+        /// No holder of the organisation's quota could be asked.
+        QuotaUnknown { display("no holder of the organisation's quota is reachable") }
     }
 }
 
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use pollenrouter_core::gate::statement::TargetNotice;
-use pollenrouter_core::{call, hint, http_message};
+use pollenrouter_core::{call, hint, http_message, id, quota};
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -44,6 +44,10 @@
     Gossip(message::Gossip),
     /// Carries nothing: the acknowledgement shows that the daemon is reachable.
     Probe,
+    /// Asks a holder for tokens, or returns some; with the host of the sender.
+    Ask(id::HostName, quota::Ask),
+    /// Replies to a request for tokens; with the host of the sender.
+    Grant(id::HostName, quota::Grant),
 }
 
 /// Head of a reply; the body of the answer follows, if there is one.
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -13,7 +13,7 @@
 use pollenrouter_core::call::{self, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, Sent};
 use pollenrouter_core::shedding::Shed;
-use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine};
+use pollenrouter_core::{fingerprint, gate, http_message, id, pause, quarantine, quota};
 use pollenrouter_daemon::message::{Answer, Command, GateReply, Peer, ReplySender, Request};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_target::message as target;
@@ -58,6 +58,8 @@
     deadline: Duration,
     /// Failure that a target answered with, kept while another target is tried.
     failure_answer: Option<Answer>,
+    /// Token of the organisation's quota, unused if the call does not run.
+    permit: Option<quota::Permit>,
     reply_to: oneshot::Sender<CallerResult>,
 }
 
@@ -95,6 +97,8 @@
     request_id_header: &'static str,
     caller_header: &'static str,
     quarantined: quarantine::Quarantined,
+    /// Tokens of calls that did not run.
+    unused_permits: Vec<quota::Permit>,
 }
 
 /// Configuration of [`Calls`].
@@ -127,6 +131,8 @@
     pub sheddable: bool,
     /// Which calls of the service are rejected in that case.
     pub shed: Shed,
+    /// Token of the organisation's quota that the call was admitted with.
+    pub permit: Option<quota::Permit>,
 }
 
 impl Calls {
@@ -166,6 +172,7 @@
             request_id_header: config.request_id_header,
             caller_header: config.caller_header,
             quarantined: quarantine::Quarantined::new(),
+            unused_permits: Vec::new(),
         }
     }
 
--- a/crates/router/src/router/rounds.rs
+++ b/crates/router/src/router/rounds.rs
@@ -28,6 +28,8 @@
         self.calls
             .instruments()
             .record_evacuations(evacuated_domains, is_evacuated);
+        self.update_quota_members();
+        self.report_quotas();
     }
 
     /// Logs when the target becomes cold or warm, and records how long it stays cold.
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -147,7 +147,7 @@
         calls,
         to_daemons,
         to_target,
-        settings.stop_timeout,
+        settings,
         close_listeners,
     );
 
