--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -15,7 +15,6 @@
 use pollenrouter_core::entry::Sent;
 use pollenrouter_core::{call, id};
 use quick_error::quick_error;
-use serde::Serialize;
 use tokio::sync::Mutex;
 use tokio::{task, time};
 
@@ -175,7 +174,7 @@
             return;
         }
         let head = RpcHead::Offer {
-            offer,
+            offer: Box::new(offer),
             head: request.head,
             body_bytes: request.body.len() as u64,
         };
@@ -227,7 +226,7 @@
     }
 
     /// Sends a message without a reply, and waits until the peer has acknowledged it.
-    async fn notify(&self, peer: &Peer, head: &impl Serialize) -> Result<(), ()> {
+    async fn notify(&self, peer: &Peer, head: &NotificationHead) -> Result<(), ()> {
         let connection = self.connection(peer).await.map_err(drop)?.connection;
         let mut tx = connection.open_uni().await.map_err(drop)?;
         frame::write(&mut tx, head, &Bytes::new())
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -3,25 +3,52 @@
 
 use bytes::Bytes;
 use pollenrouter_core::gate::statement::TargetNotice;
-use pollenrouter_core::{call, hint, http_message};
+use pollenrouter_core::{call, hint, http_message, id};
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
 
-/// Maximum size of a head, bytes.
+/// Maximum size of the head of an offer, a query or a reply, bytes.
 const HEAD_MAX_BYTES: u32 = 1 << 20;
+/// Maximum size of a notification, bytes. Gossip may carry all replicated objects at once. The
+/// platform's client reads at most 4 MiB of objects; digests are longer than short keys.
+const NOTIFICATION_MAX_BYTES: u32 = 16 << 20;
+/// A head is read in parts of this size, bytes, so that memory is taken only for what arrives.
+const READ_PART_BYTES: usize = 64 << 10;
 /// Maximum size of a body, bytes.
 pub const BODY_MAX_BYTES: u64 = 64 << 20;
 
+/// What a frame begins with.
+pub trait Head {
+    /// Maximum size, bytes.
+    const MAX_BYTES: u32;
+}
+
+impl Head for RpcHead {
+    const MAX_BYTES: u32 = HEAD_MAX_BYTES;
+}
+
+impl Head for ReplyHead {
+    const MAX_BYTES: u32 = HEAD_MAX_BYTES;
+}
+
+impl Head for NotificationHead {
+    const MAX_BYTES: u32 = NOTIFICATION_MAX_BYTES;
+}
+
+impl Head for id::Incarnation {
+    const MAX_BYTES: u32 = HEAD_MAX_BYTES;
+}
+
 /// Head of a message that expects a reply, sent on a bidirectional stream.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum RpcHead {
     /// Offers a call; the request's body follows.
     Offer {
         /// The offer.
-        offer: call::Offer,
+        offer: Box<call::Offer>,
         /// Method, path and headers of the request.
         head: http_message::RequestHead,
         /// Size of the request's body, bytes.
@@ -92,14 +119,14 @@
 ///
 /// # Errors
 /// [`FrameError`] if the connection fails or the head cannot be encoded or is too long.
-pub async fn write<T: Serialize>(
+pub async fn write<T: Head + Serialize>(
     tx: &mut quinn::SendStream,
     head: &T,
     body: &Bytes,
 ) -> Result<(), FrameError> {
     let head = postcard::to_stdvec(head)?;
     let len = u32::try_from(head.len()).unwrap_or(u32::MAX);
-    if len > HEAD_MAX_BYTES {
+    if len > T::MAX_BYTES {
         return Err(FrameError::TooLong("head", len.into()));
     }
     let mut buf = Vec::with_capacity(head.len() + size_of::<u32>());
@@ -117,15 +144,22 @@
 ///
 /// # Errors
 /// [`FrameError`] if the connection fails, or the head is too long or cannot be decoded.
-pub async fn read_head<T: DeserializeOwned>(rx: &mut quinn::RecvStream) -> Result<T, FrameError> {
+pub async fn read_head<T: Head + DeserializeOwned>(
+    rx: &mut quinn::RecvStream,
+) -> Result<T, FrameError> {
     let mut len = [0; size_of::<u32>()];
     rx.read_exact(&mut len).await.map_err(read_error)?;
     let len = u32::from_be_bytes(len);
-    if len > HEAD_MAX_BYTES {
+    if len > T::MAX_BYTES {
         return Err(FrameError::TooLong("head", len.into()));
     }
-    let mut buf = vec![0; len as usize];
-    rx.read_exact(&mut buf).await.map_err(read_error)?;
+    let len = len as usize;
+    let mut buf = Vec::new();
+    while buf.len() < len {
+        let begin = buf.len();
+        buf.resize(len.min(begin + READ_PART_BYTES), 0);
+        rx.read_exact(&mut buf[begin..]).await.map_err(read_error)?;
+    }
     Ok(postcard::from_bytes(&buf)?)
 }
 
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -97,7 +97,7 @@
             body_bytes,
         } => {
             let body = frame::read_body(&mut rx, body_bytes).await?;
-            Event::OfferReceived(offer, Request { head, body }, reply_tx)
+            Event::OfferReceived(*offer, Request { head, body }, reply_tx)
         }
         RpcHead::Query(query) => Event::QueryReceived(query, reply_tx),
     };
