Take several Authorization headers for no key

Cause: the first of several headers counted. A reader between the caller and the daemon that takes the last one sees another caller, and the caller chooses which. An empty key is none either. Ruled out by the table: schemes in any case, spaces, tabs, quotes, commas, other headers, and an organisation that the caller states itself, also as a hop-by-hop header.

--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -92,14 +92,15 @@
     })
 }
 
-/// Digest of the key that a request carries. A header of another form carries none.
+/// Digest of the key that a request carries. A header of another form carries none, and neither do
+/// several headers: whoever reads another one of them would see another caller.
 fn parse_key(headers: &HeaderMap) -> Option<KeyDigest> {
-    let credentials = headers.get(AUTHORIZATION)?.as_bytes();
-    let (scheme, key) = credentials.split_at_checked(KEY_SCHEME.len())?;
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let credentials = values.next().filter(|_| values.next().is_none())?;
+    let (scheme, key) = credentials.as_bytes().split_at_checked(KEY_SCHEME.len())?;
     let key = key.strip_prefix(b" ")?.trim_ascii();
-    scheme
-        .eq_ignore_ascii_case(KEY_SCHEME.as_bytes())
-        .then(|| KeyDigest::of(key))
+    let is_key = scheme.eq_ignore_ascii_case(KEY_SCHEME.as_bytes()) && !key.is_empty();
+    is_key.then(|| KeyDigest::of(key))
 }
 
 fn parse_number<T: FromStr>(
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -12,6 +12,7 @@
 use pollenrouter_caller::listener::{self, LookupResult, RouteMatch};
 use pollenrouter_caller::message::{Call, CallerResult, CallerResultKind, Event};
 use pollenrouter_caller::request::ParsedRequest;
+use pollenrouter_core::organisation::KeyDigest;
 use pollenrouter_core::{http_message, service, table};
 use pollenrouter_http::convention;
 use tokio::sync::watch;
@@ -72,12 +73,25 @@
     }
 }
 
-/// Requests below `/read` may repeat, those below `/write` may not.
+/// The only key, and its organisation.
+pub const KEY: &str = "k-7f3a";
+pub const ORGANISATION: &str = "north";
+
+/// Requests below `/read` may repeat, those below `/write` may not. Those below `/keyed` need
+/// [`KEY`], those below `/open` may have it.
 fn lookup(req: &ParsedRequest) -> LookupResult {
+    let (needs_key, is_open) = (
+        req.path.starts_with("/keyed"),
+        req.path.starts_with("/open"),
+    );
     let repeatable = req.path.starts_with("/read");
-    if !repeatable && !req.path.starts_with("/write") {
+    if !repeatable && !needs_key && !is_open && !req.path.starts_with("/write") {
         return LookupResult::NoRoute(1);
     }
+    let has_key = req.key == Some(KeyDigest::of(KEY.as_bytes()));
+    if needs_key && !has_key {
+        return LookupResult::UnknownKey(1);
+    }
     LookupResult::Route(Box::new(RouteMatch {
         route: table::Route {
             name: "route".into(),
@@ -96,13 +110,13 @@
                 attempts: 1,
                 rank: 0,
                 audience: service::Audience::Everyone,
-                is_open: false,
+                is_open,
             },
         },
         service: "board".into(),
         body_bytes: BODY_MAX_BYTES,
-        has_keys: false,
-        organisation: None,
+        has_keys: needs_key || is_open,
+        organisation: has_key.then(|| ORGANISATION.into()),
     }))
 }
 
