--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -28,9 +28,40 @@
     table_version: Gauge<u64>,
     table_age: Gauge<f64>,
     platform_silence: Gauge<f64>,
+    key_checks: KeyChecks,
     _provider: SdkMeterProvider,
 }
 
+/// What became of the check of a caller's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyOutcome {
+    /// An organisation holds the key.
+    Known,
+    /// No organisation holds the key, and the route needs one.
+    Unknown,
+    /// The request carries no key, and the route needs one.
+    Missing,
+    /// No organisation holds a key of the request, and the route needs none.
+    NotNeeded,
+}
+
+/// Counter of the checks of callers' keys, by outcome.
+#[derive(Clone)]
+pub struct KeyChecks(Counter<u64>);
+
+impl KeyChecks {
+    /// Counts a check.
+    pub fn count(&self, outcome: KeyOutcome) {
+        let label = match outcome {
+            KeyOutcome::Known => "known",
+            KeyOutcome::Unknown => "unknown",
+            KeyOutcome::Missing => "missing",
+            KeyOutcome::NotNeeded => "not_needed",
+        };
+        self.0.add(1, &[KeyValue::new("outcome", label)]);
+    }
+}
+
 /// Creates the instruments, and the registry that [`render`] reads them from.
 pub fn build() -> Result<(Instruments, prometheus::Registry), Error> {
     let registry = prometheus::Registry::new();
@@ -56,6 +87,7 @@
         platform_silence: meter
             .f64_gauge("pollenrouter_platform_silence_seconds")
             .build(),
+        key_checks: KeyChecks(meter.u64_counter("pollenrouter_keys").build()),
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -89,6 +121,11 @@
             .record(duration.as_secs_f64(), &labels[..2]);
     }
 
+    /// The counter of the checks of callers' keys.
+    pub fn key_checks(&self) -> KeyChecks {
+        self.key_checks.clone()
+    }
+
     /// Counts a probe of the target.
     pub fn count_probe(&self) {
         self.probes.add(1, &[]);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -19,6 +19,7 @@
 use crate::calls::{Calls, RoutedCall};
 use crate::event::Event;
 use crate::fleet::{Effect, Fleet};
+use crate::instruments::Instruments;
 use crate::routes;
 use crate::status;
 
@@ -79,6 +80,11 @@
         }
     }
 
+    /// Returns the metrics.
+    pub fn instruments(&self) -> &Instruments {
+        self.calls.instruments()
+    }
+
     /// Handles events until a planned stop is complete.
     pub async fn run(mut self, mut rx: mpsc::Receiver<Event>) {
         while let Some(event) = rx.recv().await {
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -7,9 +7,14 @@
 use pollenrouter_core::{id, service, table};
 
 use crate::fleet::ListenerState;
+use crate::instruments::{KeyChecks, KeyOutcome};
 
 /// Finds the route of a request, and draws the service that it goes to.
-pub fn find(known: &ListenerState, req: &request::ParsedRequest) -> LookupResult {
+pub fn find(
+    known: &ListenerState,
+    req: &request::ParsedRequest,
+    key_checks: &KeyChecks,
+) -> LookupResult {
     let Some(table) = known.table.as_ref().filter(|_| known.is_confirmed) else {
         return LookupResult::NotReady;
     };
@@ -18,9 +23,12 @@
     };
     let organisations = table.organisations.as_ref();
     let organisation = organisations.and_then(|o| o.holder_of(req.key?));
-    let needs_key = organisations.is_some() && !route.policy.is_open;
-    if needs_key && organisation.is_none() {
-        return LookupResult::UnknownKey(table.version);
+    if organisations.is_some() {
+        let outcome = key_outcome(req, &route.policy, organisation.is_some());
+        key_checks.count(outcome);
+        if matches!(outcome, KeyOutcome::Unknown | KeyOutcome::Missing) {
+            return LookupResult::UnknownKey(table.version);
+        }
     }
     let rank = organisation.and_then(|name| organisations?.get(name)?.rank);
     let Some(service) = route.pick_service(rand::random()) else {
@@ -39,6 +47,18 @@
     }))
 }
 
+fn key_outcome(req: &request::ParsedRequest, policy: &table::Policy, known: bool) -> KeyOutcome {
+    if known {
+        KeyOutcome::Known
+    } else if policy.is_open {
+        KeyOutcome::NotNeeded
+    } else if req.key.is_some() {
+        KeyOutcome::Unknown
+    } else {
+        KeyOutcome::Missing
+    }
+}
+
 /// Checks whether the caller may call the service.
 ///
 /// # Errors
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -304,7 +304,8 @@
             stopping.clone(),
         ));
     }
-    let mut caller_context = build_caller_context(convention, listener_state, tx);
+    let key_checks = router.instruments().key_checks();
+    let mut caller_context = build_caller_context(&convention, listener_state, key_checks, tx);
     caller_context.local_service = service;
     let audiences = [service::Audience::Everyone, service::Audience::Internal];
     let listeners = iter::once(sockets.public).chain(sockets.internal);
@@ -374,18 +375,17 @@
 }
 
 fn build_caller_context(
-    convention: Convention,
-    listener_state: SharedListenerState,
+    convention: &Convention,
+    state: SharedListenerState,
+    key_checks: instruments::KeyChecks,
     tx: event::Sender,
 ) -> callers::Context {
-    let limits_state = listener_state.clone();
+    let limits_state = state.clone();
     callers::Context {
         sink: Arc::new(move |event| event::try_send(&tx, Event::Caller(event))),
         lookup: Arc::new(move |req| {
-            let state = listener_state
-                .read()
-                .unwrap_or_else(PoisonError::into_inner);
-            routes::find(&state, req)
+            let state = state.read().unwrap_or_else(PoisonError::into_inner);
+            routes::find(&state, req, &key_checks)
         }),
         limits: Arc::new(move || {
             let state = limits_state.read().unwrap_or_else(PoisonError::into_inner);
@@ -393,7 +393,7 @@
             table.map_or_else(table::CallerLimits::default, |table| table.caller_limits)
         }),
         next_token: Arc::new(AtomicU64::new(1)),
-        convention,
+        convention: *convention,
         local_service: None,
     }
 }
