Take an answer without a final status for a lost call

Cause: the sender accepted each status that the HTTP library represents. A target's 101 as the last answer went to the caller as 101 with the target's seal, and so did 600 to 999, directly, through a second daemon and from the answers kept for resends (each was tried for 22 lines, in two profiles). Callers take 101 for an interim response and wait, and 600 or more means nothing to them. Now these end as 502 of unknown outcome without the target's headers, like the 17 others, which the library rejects: 000, 099, 99, 1000, 2000, letters, a sign, spaces, nothing, HTTP/3.1, an empty line, 100, 103 and 199 as the last answer, and a second head within the first. Ruled out: passing 600 to 999 on whole, which RFC 9110, section 15, calls invalid; what such an answer states of rate, load or leaving is not used either.

--- a/crates/core/src/http_message.rs
+++ b/crates/core/src/http_message.rs
@@ -1,5 +1,7 @@
 //! Heads of HTTP requests and responses, as daemons forward them.
 
+use std::ops::RangeInclusive;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -28,6 +30,16 @@
     pub headers: Vec<Header>,
 }
 
+/// Statuses that end an exchange. Lower ones are interim, and values outside 100 to 599 are invalid
+/// (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Whether a response with this status is an answer.
+#[must_use]
+pub fn is_final(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 /// Hop-by-hop headers, and those that each hop sets itself.
 const NOT_FORWARDED: [&str; 9] = [
     "connection",
--- a/crates/dev/src/faulty.rs
+++ b/crates/dev/src/faulty.rs
@@ -67,8 +67,36 @@
     SlowParts(u64),
     /// Sends a body byte by byte, too slowly.
     TrickledBody,
+    /// Answers with these lines in place of the status line.
+    StatusLine(&'static str),
 }
 
+/// Lines that begin an answer and state no final status (RFC 9112, section 4; RFC 9110, section 15).
+pub const INVALID_STATUS_LINES: [&str; 22] = [
+    "HTTP/1.1 000 Zero",
+    "HTTP/1.1 099 Below",
+    "HTTP/1.1 99 Short",
+    "HTTP/1.1 1000 Long",
+    "HTTP/1.1 2000 Long",
+    "HTTP/1.1 2x0 Letter",
+    "HTTP/1.1 abc Letters",
+    "HTTP/1.1 -20 Sign",
+    "HTTP/1.1  200 Spaces",
+    "HTTP/1.1 ",
+    "HTTP/1.1",
+    "HTTP/3.1 200 OK",
+    "",
+    "HTTP/1.1 100 Continue",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: websocket",
+    "HTTP/1.1 103 Early Hints",
+    "HTTP/1.1 199 Unknown",
+    "HTTP/1.1 200 OK\r\nHTTP/1.1 500 Internal Server Error",
+    "HTTP/1.1 600 Above",
+    "HTTP/1.1 700 Above",
+    "HTTP/1.1 999 Above",
+];
+
 /// How a complete answer is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Form {
@@ -212,6 +240,10 @@
             Fault::NoEcho => {
                 stream.write_all(format!("{HEAD}content-length: 4\r\n\r\ndone").as_bytes())?;
             }
+            Fault::StatusLine(line) => {
+                let headers = format!("{id}server-seal: 3e1b.07\r\ncontent-length: 4\r\n\r\n");
+                stream.write_all(format!("{line}\r\n{headers}done").as_bytes())?;
+            }
             Fault::HalfBody => {
                 return stream
                     .write_all(format!("{HEAD}{id}content-length: 8\r\n\r\ndone").as_bytes());
--- a/crates/dev/tests/endless.rs
+++ b/crates/dev/tests/endless.rs
@@ -9,7 +9,6 @@
 
 use pollenrouter_dev::deployment::Deployment;
 use pollenrouter_dev::faulty::{self, Fault};
-use pollenrouter_dev::target::Control;
 
 /// Number of answers without end at a time.
 const ANSWERS: usize = 64;
@@ -56,28 +55,6 @@
     support::memory_kib(deployment, 0, "VmHWM:")
 }
 
-/// Replaces the target of host 0 by one that plays faults.
-fn replace_target(deployment: &Deployment, address: SocketAddr) {
-    let host = &deployment.hosts[0];
-    let control = Control {
-        daemon: Some(([127, 0, 0, 1], 1).into()),
-        ..Control::default()
-    };
-    host.set_control(&control)
-        .expect("target must take the control");
-    let announcement = serde_json::json!({
-        "service": "board", "address": address, "slots": SLOTS, "draining": false,
-        "cold_start_ms": 0,
-    });
-    let uri = format!(
-        "http://{}/.pollenrouter/target",
-        host.addresses.announcements
-    );
-    ureq::put(uri)
-        .send_json(announcement)
-        .expect("announcement must be accepted");
-}
-
 /// Sends a call with a deadline and returns the status and body of the response.
 fn call(public: SocketAddr, path: &str) -> (u16, String) {
     let config = ureq::Agent::config_builder().http_status_as_error(false);
@@ -103,7 +80,7 @@
         let faults = case.faults;
         let choose = move |connection: usize, _: &str| faults[connection % faults.len()];
         let target = faulty::start(Arc::new(choose)).expect("target must start");
-        replace_target(&deployment, target.address);
+        support::replace_target(&deployment, 0, "board", target.address, SLOTS);
         let before = peak_kib(&deployment);
 
         let callers: Vec<_> = (0..ANSWERS)
--- a/crates/dev/tests/support/mod.rs
+++ b/crates/dev/tests/support/mod.rs
@@ -225,3 +225,32 @@
         .send_json(value)
         .expect("platform must accept the write");
 }
+
+/// Replaces the target of a host by one at another address.
+pub fn replace_target(
+    deployment: &Deployment,
+    host: usize,
+    service: &str,
+    address: SocketAddr,
+    slots: usize,
+) {
+    let host = &deployment.hosts[host];
+    // The target that was there announces itself elsewhere from now on.
+    let control = target::Control {
+        daemon: Some(([127, 0, 0, 1], 1).into()),
+        ..target::Control::default()
+    };
+    host.set_control(&control)
+        .expect("target must take the control");
+    let announcement = serde_json::json!({
+        "service": service, "address": address, "slots": slots, "draining": false,
+        "cold_start_ms": 0,
+    });
+    let uri = format!(
+        "http://{}/.pollenrouter/target",
+        host.addresses.announcements
+    );
+    ureq::put(uri)
+        .send_json(announcement)
+        .expect("announcement must be accepted");
+}
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -170,6 +170,9 @@
             }
         };
         let (parts, body) = response.into_parts();
+        if !http_message::is_final(parts.status.as_u16()) {
+            return Err(self.log_lost(&call, "the answer has no final status"));
+        }
         let is_misdirected = self.convention.wrong_target_status == Some(parts.status.as_u16());
         if self.belongs_to(sent_id.as_ref(), &parts) && !is_misdirected {
             let statement = self.read_statement(&parts.headers);
