Pass nothing on of an answer whose status cannot be stated

Cause: `answered` replaced a status that cannot be represented by 502 and kept the target's headers and body, so that a failure of this daemon passed for the target's own answer. A gate of an earlier version may still send one. The entry takes such a reply for a lost call, so that it counts as unknown in the metrics, and a request that may repeat goes to another target; the listener refuses it once more. Ruled out: closing the connection, which costs the caller's other requests on it.

--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -28,7 +28,7 @@
     had_ticket: bool,
 ) -> Response<Bytes> {
     let mut response = match result.kind {
-        CallerResultKind::Answer(head, body) => answered(&head, body),
+        CallerResultKind::Answer(head, body) => answered(&head, body, had_ticket),
         CallerResultKind::NotRun(refusal) => {
             refused(convention, refusal, result.retry_after, had_ticket)
         }
@@ -160,9 +160,15 @@
     problem::response(status, CallOutcome::Unknown, &doubt.to_string())
 }
 
-fn answered(head: &http_message::ResponseHead, body: Bytes) -> Response<Bytes> {
+/// The answer of a target. One with a status that is not final is none, and nothing of it is
+/// passed on: callers recognize a target's own answer by its headers.
+fn answered(head: &http_message::ResponseHead, body: Bytes, had_ticket: bool) -> Response<Bytes> {
+    let status = StatusCode::from_u16(head.status);
+    let Some(status) = status.ok().filter(|_| http_message::is_final(head.status)) else {
+        return unknown_outcome(UnknownReason::TargetLost, had_ticket);
+    };
     let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
     head::add(response.headers_mut(), &head.headers);
     response
 }
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -341,11 +341,13 @@
     /// Handles the reply of a gate on another daemon.
     pub fn handle_reply(&mut self, host: id::HostName, id: id::CallId, gate_reply: GateReply) {
         let expects_answer = matches!(gate_reply.reply, Reply::Answer | Reply::Failure);
-        let is_answer_missing = expects_answer && gate_reply.answer.is_none();
-        let reply = if is_answer_missing {
-            Reply::Unknown(UnknownReason::AnswerNotKept)
-        } else {
-            gate_reply.reply
+        let reply = match &gate_reply.answer {
+            None if expects_answer => Reply::Unknown(UnknownReason::AnswerNotKept),
+            // A gate of an earlier version passes on what a target states.
+            Some(answer) if !http_message::is_final(answer.head.status) => {
+                Reply::Unknown(UnknownReason::TargetLost)
+            }
+            _ => gate_reply.reply,
         };
         if expects_answer || gate_reply.target_notice.is_some() {
             let notice = gate_reply.target_notice;
