--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -38,9 +38,40 @@
     quota_tokens: Counter<u64>,
     quota_organisations: Gauge<u64>,
     quota_waiting: Gauge<u64>,
+    key_checks: KeyChecks,
     _provider: SdkMeterProvider,
 }
 
+/// What became of the check of a caller's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyOutcome {
+    /// An organisation holds the key.
+    Known,
+    /// No organisation holds the key, and the route needs one.
+    Unknown,
+    /// The request carries no key, and the route needs one.
+    Missing,
+    /// No organisation holds a key of the request, and the route needs none.
+    NotNeeded,
+}
+
+/// Counter of the checks of callers' keys, by outcome.
+#[derive(Clone)]
+pub struct KeyChecks(Counter<u64>);
+
+impl KeyChecks {
+    /// Counts a check.
+    pub fn count(&self, outcome: KeyOutcome) {
+        let label = match outcome {
+            KeyOutcome::Known => "known",
+            KeyOutcome::Unknown => "unknown",
+            KeyOutcome::Missing => "missing",
+            KeyOutcome::NotNeeded => "not_needed",
+        };
+        self.0.add(1, &[KeyValue::new("outcome", label)]);
+    }
+}
+
 /// Creates the instruments, and the registry that [`render`] reads them from.
 pub fn build() -> Result<(Instruments, prometheus::Registry), Error> {
     let registry = prometheus::Registry::new();
@@ -75,6 +106,7 @@
         quota_tokens: meter.u64_counter("pollenrouter_quota_tokens").build(),
         quota_organisations: meter.u64_gauge("pollenrouter_quota_organisations").build(),
         quota_waiting: meter.u64_gauge("pollenrouter_quota_waiting").build(),
+        key_checks: KeyChecks(meter.u64_counter("pollenrouter_keys").build()),
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -117,6 +149,11 @@
         self.refusals.add(1, &labels);
     }
 
+    /// The counter of the checks of callers' keys.
+    pub fn key_checks(&self) -> KeyChecks {
+        self.key_checks.clone()
+    }
+
     /// Counts a probe of the target.
     pub fn count_probe(&self) {
         self.probes.add(1, &[]);
