Keep gates closed until a peer that knows the evacuations has told them

Daemons that restarted together while the platform answered for all but the evacuations took each other's word that there was none: their gates opened, and 20 of 20 requests of the new test were answered, though no daemon could know that the domain was evacuated.

The first daemon that has read all evacuations adds the object evacuations-known to its replica; a peer's answer opens the gate only if the daemon then holds it.

Ruled out: waiting for the own listing only, since a daemon must learn evacuations from its peers while the platform is away.

--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -22,6 +22,9 @@
 pub const CRASHES: &str = "crashes/";
 /// Key prefix of the evacuations that an operator has written; the failure domain follows.
 pub const EVACUATIONS: &str = "evacuations/";
+/// Key of an object that daemons tell each other together with the evacuations, once one of them has
+/// read all of these from the platform. The platform does not have it.
+pub const EVACUATIONS_KNOWN: &str = "evacuations-known";
 /// Key of the platform's latest era, as daemons tell each other; its version is the era.
 pub const ERA: &str = "era";
 /// Maximum number of departed incarnations that a member's object keeps; a host has one target at a time.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -277,8 +277,7 @@
             message,
             rand::random(),
         ));
-        // A peer that does not know this host cannot know of its departures either.
-        if is_peer_synced && self.members.contains_key(&self.own.host) {
+        if is_peer_synced && self.is_peer_informed() {
             self.startup_sync.on_peer_synced();
         }
         self.check_startup_sync(&mut effects);
@@ -291,6 +290,7 @@
         self.startup_sync.on_round();
         self.check_registration();
         let mut effects = self.step(membership::Input::Round(rand::random()));
+        self.request_evacuations(&mut effects);
         self.check_startup_sync(&mut effects);
         effects
     }
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Whether a peer that has sent all that it has knows enough to open the gate. One that does
+    /// not know this host cannot know of its departures either.
+    pub(super) fn is_peer_informed(&self) -> bool {
+        self.members.contains_key(&self.own.host) && self.knows_evacuations()
+    }
+
     /// Opens the gate if the departures acknowledged before this daemon started are known;
     /// otherwise requests missing objects from other daemons.
     pub(super) fn check_startup_sync(&mut self, effects: &mut Vec<Effect>) {
@@ -127,7 +133,7 @@
         self.is_synced = self.startup_sync.is_complete(view);
         if self.is_synced {
             effects.push(Effect::OpenGate);
-        } else {
+        } else if self.knows_evacuations() {
             effects.extend(self.step(membership::Input::Sync));
         }
     }
--- a/crates/router/src/fleet/evacuations.rs
+++ b/crates/router/src/fleet/evacuations.rs
@@ -2,7 +2,7 @@
 
 use log::info;
 use pollenrouter_core::evacuations::{self, Evacuations};
-use pollenrouter_core::{replica, version};
+use pollenrouter_core::{membership, replica, version};
 use pollenrouter_platform::listing::Listing;
 use pollenrouter_platform::object;
 
@@ -21,6 +21,21 @@
         }
     }
 
+    /// Whether the evacuations are known, or nobody has to know them. Daemons that have just
+    /// restarted may have nothing to tell each other.
+    pub(super) fn knows_evacuations(&self) -> bool {
+        let held = self.membership.replica().get(object::EVACUATIONS_KNOWN);
+        !self.profile.evacuations || held.is_some()
+    }
+
+    /// Requests missing objects from other daemons while the evacuations are unknown, once a round:
+    /// daemons that know nothing would answer each other without end.
+    pub(super) fn request_evacuations(&mut self, effects: &mut Vec<Effect>) {
+        if !self.is_synced && !self.knows_evacuations() {
+            effects.extend(self.step(membership::Input::Sync));
+        }
+    }
+
     /// Adds to a listing the removals that follow from it. A stale one, or one with objects that
     /// cannot be read, shows none.
     pub(super) fn on_evacuations_listed(&mut self, prefix: &str, listing: &mut Listing) {
@@ -29,6 +44,11 @@
         }
         self.startup_sync.on_evacuations_listed();
         if listing.is_complete {
+            listing.objects.push(replica::Object {
+                key: object::EVACUATIONS_KNOWN.into(),
+                version: 1,
+                value: "".into(),
+            });
             let held = self.membership.replica();
             let (listed, revision) = (&listing.objects, listing.revision);
             let removed = evacuations::removals(held, object::EVACUATIONS, listed, revision);
