--- a/crates/core/src/entry/intake.rs
+++ b/crates/core/src/entry/intake.rs
@@ -52,7 +52,11 @@
             return true;
         }
         let origin = self.origins.entry(request.route.clone()).or_default();
-        origin.record(request.stated_remaining.map(|left| left + request.waited));
+        let stated = request.stated_remaining;
+        origin.record(
+            stated.map(|left| left + request.waited),
+            request.remaining + request.waited,
+        );
         origin.has_callers()
     }
 
