--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -14,16 +14,15 @@
 use bytes::Bytes;
 use pollenrouter_core::entry::Sent;
 use pollenrouter_core::{call, id};
-use quick_error::quick_error;
 use tokio::sync::Mutex;
 use tokio::{task, time};
 
+use crate::connect_error::{CONNECT_TIMEOUT, ConnectError};
 use crate::frame::{self, FrameError, NotificationHead, ReplyHead, RpcHead};
 use crate::message::{Answer, Command, Event, GateReply, Peer, Request};
 use crate::protocol;
 use crate::tls;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval of the liveness checks on a connection with an open stream.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Consecutive checks without a received datagram after which a connection counts as
@@ -34,41 +33,6 @@
 /// QUIC error code with which a stream is reset whose message is not sent to its end.
 const UNFINISHED_ERROR_CODE: u32 = 2;
 
-quick_error! {
-    /// A connection could not be opened.
-    #[derive(Debug)]
-    pub enum ConnectError {
-        /// No socket could be opened.
-        Socket(err: std::io::Error) {
-            from()
-            source(err)
-            display("could not open a socket: {err}")
-        }
-        /// The address or the client configuration is invalid.
-        Connect(err: quinn::ConnectError) {
-            from()
-            source(err)
-            display("could not start a connection: {err}")
-        }
-        /// The handshake failed.
-        Handshake(err: quinn::ConnectionError) {
-            from()
-            source(err)
-            display("handshake failed: {err}")
-        }
-        /// The peer did not send its incarnation.
-        Incarnation(err: FrameError) {
-            from()
-            source(err)
-            display("could not read the peer's incarnation: {err}")
-        }
-        /// The connection was not established in time.
-        Timeout(address: net::SocketAddr) {
-            display("no reply from {address} within {} ms", CONNECT_TIMEOUT.as_millis())
-        }
-    }
-}
-
 /// An established connection, and the incarnation that the peer has reported on it.
 #[derive(Clone)]
 struct PeerConnection {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! call, so that a long answer never delays a short one.
 
 pub mod client;
+pub mod connect_error;
 pub mod frame;
 pub mod keys;
 pub mod message;
