Take out returns in turn and the recognition of services by stated times

Two causes, told apart by trials without processor time: - A route counted as called by services unless enough calls stated its longest time. Callers on the users' platform state varying times, so their calls waited until their deadlines. - Refused callers came back in turn, by the rate of the targets, where they could have been served at once (seconds 12 to 18, while targets turned away half of what came).

Ruled out: the new bounds on the wait.

The test of recognised calls went out with the rule; `calls_of_callers_are_shed` checks what takes its place, with six cases.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -12,7 +12,6 @@
 mod notices;
 mod placement;
 mod retry;
-mod returns;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -25,8 +24,6 @@
 use crate::id;
 use crate::selection;
 use crate::shedding::Shed;
-use crate::shedding::origin::Origin;
-use crate::shedding::returns::Returns;
 
 /// Time after the deadline for which the entry still waits for a gate's reply.
 pub const REPLY_GRACE: Duration = Duration::from_millis(100);
@@ -38,9 +35,12 @@
 /// Time between two queries to a gate that has not replied.
 pub const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Shortest retry delay that refused callers are told. The load of a target changes within
-/// fractions of a second.
+/// Bounds of the retry delay that refused callers are told. The load of a target
+/// changes within fractions of a second.
 pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+const RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
+/// Longest retry delay while the rates of targets are limited; a limit may end at any time.
+const LIMITED_RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 
 /// Handle of a call within one entry.
 pub type Token = u64;
@@ -215,15 +215,11 @@
     notices: notices::Notices,
     /// When the latest refused caller of each service was told to return.
     latest_returns: BTreeMap<id::ServiceName, Duration>,
-    /// When refused callers of each service were told to return, with [`Shed::All`].
-    returns: BTreeMap<id::ServiceName, Returns>,
     pending: BTreeMap<Token, Pending>,
     by_id: BTreeMap<id::CallId, Vec<Token>>,
     retry_budgets: BTreeMap<id::ServiceName, bucket::RetryBudget>,
     /// Longest remaining time that callers of each route have stated.
     longest_remaining: BTreeMap<id::RouteName, Duration>,
-    /// Who calls each route, with [`Shed::All`].
-    origins: BTreeMap<id::RouteName, Origin>,
     /// When all calls end because of a planned stop.
     stops_at: Option<Duration>,
 }
@@ -239,12 +235,10 @@
             gates: gates::Gates::default(),
             notices: notices::Notices::default(),
             latest_returns: BTreeMap::new(),
-            returns: BTreeMap::new(),
             pending: BTreeMap::new(),
             by_id: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             longest_remaining: BTreeMap::new(),
-            origins: BTreeMap::new(),
             stops_at: None,
         }
     }
@@ -299,6 +293,33 @@
         })
     }
 
+    /// Time after which a refused caller may retry: the expected wait at the least loaded
+    /// gate of the service. If the rates of all its targets are limited, refused callers return
+    /// one after the other at this entry's even share of them.
+    #[must_use]
+    pub fn retry_after(&mut self, now: Duration, service: &id::ServiceName) -> Duration {
+        let gates = self.gates.iter();
+        let loads: Vec<&selection::Load> = gates
+            .filter(|(member, _)| member.service == *service && member.is_available())
+            .map(|(_, load)| load)
+            .collect();
+        let expected_waits = loads.iter().map(|load| load.expected_wait(now));
+        let shortest = expected_waits.min().unwrap_or(RETRY_AFTER_MAX);
+        let intervals: Option<Vec<Duration>> =
+            loads.iter().map(|load| load.rate_interval(now)).collect();
+        let Some(intervals) = intervals.filter(|intervals| !intervals.is_empty()) else {
+            return shortest.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        };
+        let rate: f64 = intervals.iter().map(|i| i.as_secs_f64().recip()).sum();
+        let entries = f64::from(self.gates.len().max(1));
+        let spacing = Duration::from_secs_f64(entries / rate).min(LIMITED_RETRY_AFTER_MAX);
+        let earliest = now + shortest.max(RETRY_AFTER_MIN);
+        let latest = self.latest_returns.entry(service.clone()).or_default();
+        let returns_at = earliest.max(*latest + spacing);
+        *latest = returns_at.min(now + LIMITED_RETRY_AFTER_MAX);
+        latest.saturating_sub(now)
+    }
+
     /// Whether no call is open.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/core/src/entry/intake.rs
+++ b/crates/core/src/entry/intake.rs
@@ -9,11 +9,8 @@
 use crate::shedding::Shed;
 
 impl Entry {
-    pub(super) fn call(&mut self, now: Duration, mut request: Request, out: &mut Vec<Output>) {
+    pub(super) fn call(&mut self, now: Duration, request: Request, out: &mut Vec<Output>) {
         self.credit_retry_budget(&request);
-        if request.shed == Shed::All {
-            request.sheddable &= self.is_by_caller(&request);
-        }
         let token = request.token;
         let deadline = now + request.remaining;
         let pending = Pending {
@@ -46,20 +43,6 @@
         request.objective.saturating_sub(waited)
     }
 
-    /// Whether the call is made by a caller and not by another service.
-    fn is_by_caller(&mut self, request: &Request) -> bool {
-        if !request.organisation.is_empty() {
-            return true;
-        }
-        let origin = self.origins.entry(request.route.clone()).or_default();
-        let stated = request.stated_remaining;
-        origin.record(
-            stated.map(|left| left + request.waited),
-            request.remaining + request.waited,
-        );
-        origin.has_callers()
-    }
-
     pub(super) fn ticket_refusal(&self, request: &Request) -> Option<Refusal> {
         let ticket = request.ticket.as_ref()?;
         if ticket.service != request.service {
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -96,17 +96,6 @@
         is_limited.then_some(hint.rate_interval)
     }
 
-    /// Calls per second that the target takes, if the gate has reported its load recently.
-    #[must_use]
-    pub fn rate(&self, now: Duration) -> Option<f64> {
-        if let Some(interval) = self.rate_interval(now) {
-            return Some(interval.as_secs_f64().recip());
-        }
-        let (hint, at) = self.report?;
-        let is_known = now.saturating_sub(at) <= HINT_TTL && !hint.mean_service_time.is_zero();
-        is_known.then(|| f64::from(hint.slots) / hint.mean_service_time.as_secs_f64())
-    }
-
     /// Expected time until the target's rate limit lets a call start that is offered now.
     fn rate_wait(&self, now: Duration) -> Duration {
         match (self.report, self.rate_interval(now)) {
--- a/crates/core/src/shedding.rs
+++ b/crates/core/src/shedding.rs
@@ -3,11 +3,9 @@
 //! Every function is pure; gates and entries use them wherever a call can wait.
 
 pub mod fairness;
-pub mod origin;
 pub mod plan;
 pub mod rank_load;
 pub mod recent;
-pub mod returns;
 
 use std::time::Duration;
 
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -96,15 +96,15 @@
     }
 
     /// Whether a call may be refused when it cannot meet the latency objective. With
-    /// [`Shed::All`] that holds for every rank; the entry excepts the calls of other services
-    /// that it recognises. Where callers have keys, a call without one is made by a service.
+    /// [`Shed::All`] that holds for every rank where callers have keys: a call without one is made
+    /// by a service. Elsewhere such calls cannot be told from those of callers, so that only the
+    /// lowest priority is refused.
     #[must_use]
     pub fn may_shed(&self, shed: Shed, policy: &Policy, has_organisation: bool) -> bool {
         match shed {
             Shed::Lowest => self.is_sheddable(policy),
-            Shed::All => {
-                policy.has_uniform_deadline && (self.organisations.is_none() || has_organisation)
-            }
+            Shed::All if self.organisations.is_none() => self.is_sheddable(policy),
+            Shed::All => policy.has_uniform_deadline && has_organisation,
         }
     }
 }
--- a/crates/core/tests/table.rs
+++ b/crates/core/tests/table.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use pollenrouter_core::organisation::Organisations;
 use pollenrouter_core::service::Audience;
+use pollenrouter_core::shedding::Shed;
 use pollenrouter_core::table::{Policy, Route, Table, WeightedService};
 use rstest::rstest;
 
@@ -88,3 +90,30 @@
     assert!(table().is_sheddable(&policy(2, true)));
     assert!(!table().is_sheddable(&policy(2, false)));
 }
+
+struct ShedCase {
+    shed: Shed,
+    has_keys: bool,
+    has_organisation: bool,
+    rank: u8,
+    may_shed: bool,
+}
+
+/// Guards against refusing calls of services, which fail a call in progress, for their objective,
+/// and against holding those of callers.
+#[rstest]
+#[case::urgent_caller(ShedCase { shed: Shed::All, has_keys: true, has_organisation: true, rank: 0, may_shed: true })]
+#[case::service(ShedCase { shed: Shed::All, has_keys: true, has_organisation: false, rank: 2, may_shed: false })]
+#[case::urgent_without_keys(ShedCase { shed: Shed::All, has_keys: false, has_organisation: false, rank: 0, may_shed: false })]
+#[case::last_without_keys(ShedCase { shed: Shed::All, has_keys: false, has_organisation: false, rank: 2, may_shed: true })]
+#[case::urgent_by_default(ShedCase { shed: Shed::Lowest, has_keys: true, has_organisation: true, rank: 0, may_shed: false })]
+#[case::last_by_default(ShedCase { shed: Shed::Lowest, has_keys: true, has_organisation: true, rank: 2, may_shed: true })]
+fn calls_of_callers_are_shed(#[case] case: ShedCase) {
+    let mut table = table();
+    table.organisations = case.has_keys.then(Organisations::default);
+    let mut policy = table.routes[0].policy.clone();
+    policy.rank = case.rank;
+    policy.has_uniform_deadline = true;
+    let may_shed = table.may_shed(case.shed, &policy, case.has_organisation);
+    assert_eq!(may_shed, case.may_shed);
+}
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -51,11 +51,7 @@
     service: id::ServiceName,
     route: id::RouteName,
     rank: u8,
-    shed: Shed,
     started_at: Duration,
-    /// When its answer misses the latency objective.
-    objective_at: Duration,
-    deadline: Duration,
     /// Failure that a target answered with, kept while another target is tried.
     failure_answer: Option<Answer>,
     /// Token of the organisation's quota, unused if the call does not run.
--- a/crates/router/src/calls/incoming.rs
+++ b/crates/router/src/calls/incoming.rs
@@ -95,9 +95,6 @@
             request_id,
             route: request.route.clone(),
             rank: request.rank,
-            shed: request.shed,
-            objective_at: (started_at + request.objective).saturating_sub(request.waited),
-            deadline: started_at + request.remaining,
             request: Request {
                 head: call.head,
                 body: call.body,
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -7,8 +7,6 @@
 use pollenrouter_caller::message::{CallerResult, CallerResultKind};
 use pollenrouter_core::call::{self, Refusal, Reply, UnknownReason};
 use pollenrouter_core::entry::{self, CallResult, Sent};
-use pollenrouter_core::shedding::Shed;
-use pollenrouter_core::shedding::returns::Refused;
 use pollenrouter_core::{gate, hint, id};
 use pollenrouter_daemon::message::{Command, GateReply, Peer};
 use pollenrouter_target::message as target;
@@ -123,8 +121,8 @@
         if matches!(kind, CallerResultKind::NotRun(_)) {
             self.instruments.count_refusal(&reason, call.rank);
         }
-        let retry_after =
-            matches!(kind, CallerResultKind::NotRun(_)).then(|| self.retry_after(now, &call));
+        let retry_after = matches!(kind, CallerResultKind::NotRun(_))
+            .then(|| self.entry.retry_after(now, &call.service));
         // The send fails if the caller has disconnected.
         let _ = call.reply_to.send(CallerResult {
             kind,
@@ -133,19 +131,6 @@
         });
     }
 
-    fn retry_after(&mut self, now: Duration, call: &PendingCall) -> Duration {
-        if call.shed == Shed::Lowest {
-            return self.entry.retry_after(now, &call.service);
-        }
-        let refused = Refused {
-            rank: call.rank,
-            objective: call.objective_at.saturating_sub(now),
-            remaining: call.deadline.saturating_sub(now),
-            draw: rand::random(),
-        };
-        self.entry.retry_after_in_turn(now, &call.service, refused)
-    }
-
     /// Logs why a caller got no answer, with the loads of the service's gates that this
     /// entry knows.
     fn log_failed_call(&self, now: Duration, call: &PendingCall, outcome: &str, reason: &str) {
--- a/crates/target/tests/connecting.rs
+++ b/crates/target/tests/connecting.rs
@@ -66,6 +66,10 @@
     let outcome = task::LocalSet::new().block_on(&runtime, async {
         sender.execute(Command::SetAddress(address));
         sender.execute(Command::Send(call()));
+        match events.recv().await {
+            Some(Event::ConnectionFailed(_)) => {}
+            other => panic!("the failed connection must be reported: {other:?}"),
+        }
         match events.recv().await {
             Some(Event::CallFinished(_, outcome, _)) => outcome,
             other => panic!("the call must end: {other:?}"),
