Test daemons against untrusted clients, with lowered limits

Untrusted clients ended a process by exhausting its memory. The tests play them one at a time against two daemons whose host has 64 MB and 400 descriptors, with bodies of up to 4 MiB; they check that the daemons live, that peak memory (VmHWM) and open descriptors stay within those of the host, and that an ordinary request and one of the maximum size are answered afterwards.

The settings `memory_mb` and `descriptors` are read and have no effect yet; a field without a value counts as absent, since the platform fills the template with nothing where it states none.

--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -163,6 +163,7 @@
         service: SERVICE.into(),
         route: "refresh".into(),
         depth: 0,
+        organisation: "".into(),
         rank: 0,
         remaining: DEADLINE,
         objective: OBJECTIVE,
--- a/crates/core/tests/quarantined_calls.rs
+++ b/crates/core/tests/quarantined_calls.rs
@@ -27,6 +27,7 @@
         service: SERVICE.into(),
         route: "r".into(),
         depth: 0,
+        organisation: "".into(),
         rank: 0,
         remaining: Duration::from_secs(1),
         objective: Duration::from_secs(1),
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -78,6 +78,7 @@
         service: SERVICE.into(),
         route: "r".into(),
         depth: 0,
+        organisation: "".into(),
         rank: 0,
         remaining: DEADLINE,
         objective: OBJECTIVE,
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -53,6 +53,7 @@
         service: SERVICE.into(),
         route: "r".into(),
         depth: 0,
+        organisation: "".into(),
         rank: 0,
         remaining: STEP,
         objective: STEP,
--- a/crates/core/tests/target_speed.rs
+++ b/crates/core/tests/target_speed.rs
@@ -328,6 +328,7 @@
         service: SERVICE.into(),
         route: "refresh".into(),
         depth: 0,
+        organisation: "".into(),
         rank: 0,
         remaining: DEADLINE,
         objective: OBJECTIVE,
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -162,6 +162,7 @@
         service: "seats".into(),
         route: "assign".into(),
         depth: 0,
+        organisation: "".into(),
         rank: 0,
         remaining: Duration::from_secs(1),
         objective: Duration::from_secs(1),
--- a/crates/dev/src/deployment.rs
+++ b/crates/dev/src/deployment.rs
@@ -43,6 +43,8 @@
     pub documents: PathBuf,
     /// Services to deploy.
     pub services: Vec<ServicePlan>,
+    /// Lines that are added to the settings of each daemon.
+    pub settings: String,
 }
 
 /// Addresses of a daemon, as it logs them at startup.
@@ -109,6 +111,7 @@
             service("assignment", 5000, 0),
             service("seats", 5000, 20),
         ],
+        settings: String::new(),
     }
 }
 
@@ -151,10 +154,8 @@
             let name = format!("{}-{index}", service.name);
             let settings = self.dir.path().join(format!("{name}.yaml"));
             let platform = self.platform_address;
-            fs::write(
-                &settings,
-                start::render_settings(&name, domain, platform, keys),
-            )?;
+            let rendered = start::render_settings(&name, domain, platform, keys);
+            fs::write(&settings, rendered + &plan.settings)?;
             let (daemon, addresses) = start::daemon(&name, &settings)?;
             let ledger = self.dir.path().join(format!("{name}.ledger"));
             let (target, target_address) =
--- /dev/null
+++ b/crates/dev/tests/hostile/answers.rs
@@ -0,0 +1,107 @@
+//! Answers that are not read, and answers without an end.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollenrouter_dev::faulty::{self, Fault};
+use pollenrouter_dev::target::Control;
+use rstest::rstest;
+
+use crate::crowd;
+use crate::site::{ANSWER_BYTES, Site};
+
+/// Connections whose answers together are three times the memory of the host.
+const CLIENTS: usize = 48;
+/// Pipelined requests on each connection.
+const PIPELINED: usize = 64;
+/// Time for which the crowd reads, or waits for what a target sends.
+const LASTS: Duration = Duration::from_secs(8);
+
+/// Longer than any of the tests.
+const LONG_DEADLINE_MS: u32 = 60_000;
+/// Ends while the crowd waits: the target is replaced, and its calls keep their slots until then.
+const SHORT_DEADLINE_MS: u32 = 4000;
+
+fn request(start: &str, answer_bytes: usize, deadline_ms: u32) -> String {
+    format!(
+        "{start} HTTP/1.1\r\nhost: x\r\nx-answer-bytes: {answer_bytes}\r\n\
+         pollenrouter-deadline-ms: {deadline_ms}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+/// Guards against answers that wait in memory for callers that do not take them: of the target
+/// beside the daemon, and of one beside another daemon, which also keeps them for resends.
+#[rstest]
+#[case::not_read("GET /board/refresh", 0)]
+#[case::read_slowly("GET /board/refresh", 1024)]
+#[case::not_read_between_daemons("POST /assignment/assign", 0)]
+#[case::read_slowly_between_daemons("POST /assignment/assign", 1024)]
+fn long_answers(#[case] start: &str, #[case] rate: usize) {
+    let site = Site::start();
+    let request = request(start, ANSWER_BYTES, LONG_DEADLINE_MS);
+    let mut crowd = crowd::send(site.public(), CLIENTS, |stream| {
+        stream.write_all(request.as_bytes())
+    });
+    crowd::read_slowly(&mut crowd, rate, LASTS);
+    site.check("long answers");
+    drop(crowd);
+    site.check_large("after long answers");
+}
+
+/// Guards against answers that pile up behind one that is not read.
+#[rstest]
+#[case::long(ANSWER_BYTES)]
+#[case::of_64_kib(64 << 10)]
+fn pipelined_requests_whose_answers_nobody_reads(#[case] answer_bytes: usize) {
+    let site = Site::start();
+    let request = request("GET /board/refresh", answer_bytes, LONG_DEADLINE_MS).repeat(PIPELINED);
+    let crowd = crowd::send(site.public(), CLIENTS, |stream| {
+        stream.write_all(request.as_bytes())
+    });
+    std::thread::sleep(LASTS);
+    site.check("pipelined requests");
+    drop(crowd);
+    site.check_large("after pipelined requests");
+}
+
+/// Guards against answers of a target that are kept while they grow without an end.
+#[rstest]
+#[case::a_body(Fault::EndlessBody)]
+#[case::tiny_chunks(Fault::EndlessTinyChunks)]
+#[case::a_head(Fault::EndlessHead)]
+#[case::stalled(Fault::StalledLongBody)]
+fn answers_without_end(#[case] fault: Fault) {
+    let site = Site::start();
+    let host = &site.deployment.hosts[0];
+    let target = faulty::start(Arc::new(move |_, _: &str| fault)).expect("target must start");
+    let silent = Control {
+        daemon: Some(([127, 0, 0, 1], 1).into()),
+        ..Control::default()
+    };
+    host.set_control(&silent).expect("target must take it");
+    let announce = |address: std::net::SocketAddr| {
+        let announcement = serde_json::json!({
+            "service": "board", "address": address, "slots": 2 * CLIENTS, "draining": false,
+            "cold_start_ms": 0,
+        });
+        let address = host.addresses.announcements;
+        ureq::put(format!("http://{address}/.pollenrouter/target"))
+            .send_json(announcement)
+            .expect("announcement must be accepted");
+    };
+    announce(target.address);
+    let request = request("GET /board/refresh", 0, SHORT_DEADLINE_MS);
+    let crowd = crowd::send(site.public(), CLIENTS, |stream| {
+        stream.write_all(request.as_bytes())
+    });
+    std::thread::sleep(LASTS);
+    site.check_bounds("answers without end");
+    drop(crowd);
+    let resumed = Control {
+        daemon: Some(host.addresses.announcements),
+        ..Control::default()
+    };
+    host.set_control(&resumed).expect("target must take it");
+    site.check("after answers without end");
+}
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use pollenrouter_core::id;
@@ -23,6 +24,15 @@
 /// enforced.
 const GRACE_MARGIN: Duration = Duration::from_millis(900);
 const STOP_TIMEOUT_MAX_MS: u64 = 3_600_000;
+/// Memory of a host that states none, MB: the smallest that deployments state.
+const DEFAULT_MEMORY_MB: u64 = 160;
+/// A daemon without callers takes about 20 MB.
+const MEMORY_MB: RangeInclusive<u64> = 32..=1_048_576;
+/// Descriptors of a host that states none: the smallest number that deployments state.
+const DEFAULT_DESCRIPTORS: u64 = 4100;
+/// With fewer, nothing would be left for callers beside files, the platform, other daemons and
+/// the target.
+const DESCRIPTORS: RangeInclusive<u64> = 300..=1_048_576;
 
 /// Checked settings.
 #[derive(Clone, Debug)]
@@ -49,6 +59,10 @@
     pub keys: Option<Keys>,
     /// Limits of services whose configuration states none.
     pub limits: Limits,
+    /// Memory that the process may take, MB of 2^20 bytes.
+    pub memory_mb: u64,
+    /// Number of descriptors that the process may open.
+    pub descriptors: u64,
     /// Maximum time to wait for calls in flight during a planned stop.
     pub stop_timeout: Duration,
     /// Log level.
@@ -131,6 +145,8 @@
         0..=STOP_TIMEOUT_MAX_MS,
         Some(DEFAULT_STOP_TIMEOUT_MS),
     );
+    let memory = f.integer("memory_mb", MEMORY_MB, Some(DEFAULT_MEMORY_MB));
+    let descriptors = f.integer("descriptors", DESCRIPTORS, Some(DEFAULT_DESCRIPTORS));
     let levels = [
         ("error", log::LevelFilter::Error),
         ("warn", log::LevelFilter::Warn),
@@ -157,6 +173,8 @@
                 ..limits?
             },
         },
+        memory_mb: memory?,
+        descriptors: descriptors?,
         stop_timeout: match grace? {
             None => Duration::from_millis(stop?),
             Some(grace) => grace.saturating_sub(GRACE_MARGIN),
--- a/crates/operator/src/yaml.rs
+++ b/crates/operator/src/yaml.rs
@@ -16,7 +16,7 @@
 
 /// Maximum size of a text, bytes; the platform stores no larger values.
 const TEXT_MAX_BYTES: usize = 1 << 20;
-/// Maximum nesting of a text. Deeper ones overflow the stack of the loader, which is recursive.
+/// Maximum nesting of a text. Deeper ones overflow the stack of the recursive loader.
 const DEPTH_MAX: usize = 32;
 /// Maximum duration, seconds.
 const SECONDS_MAX: f64 = 86_400.0;
@@ -105,8 +105,7 @@
     None
 }
 
-/// Reads the fields of one mapping. Methods that read a field return `None` if they report a
-/// finding.
+/// Reads the fields of one mapping. Methods return `None` if they report a finding.
 pub struct FieldReader<'a, 'input> {
     node: &'a MarkedYaml<'input>,
     path: String,
@@ -147,7 +146,8 @@
 
     fn find(&mut self, name: &'static str) -> Option<&'a MarkedYaml<'input>> {
         self.requested.insert(name);
-        self.node.data.as_mapping_get(name)
+        let node = self.node.data.as_mapping_get(name)?;
+        (!node.data.is_null()).then_some(node)
     }
 
     fn require(&mut self, name: &'static str) -> Option<&'a MarkedYaml<'input>> {
