--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -15,14 +15,18 @@
 use log::info;
 use pollenrouter_core::call::{MAX_DEPTH, Refusal, UnknownReason};
 use pollenrouter_core::{http_message, id, service, table};
+use pollenrouter_http::body::BodyError;
 use pollenrouter_http::convention::Convention;
+use pollenrouter_http::memory::Memory;
 use pollenrouter_http::problem::CallOutcome;
 use pollenrouter_http::{head, problem, server};
+use rustix::net::sockopt;
 use smol_str::SmolStr;
 use tokio::sync::{oneshot, watch};
 
 use crate::admission::{Admission, Admit, ReadRequest};
 use crate::connection;
+use crate::connections::Connections;
 use crate::disconnect;
 use crate::message::{Call, CallerResult, CallerResultKind, Event};
 use crate::pipeline::{self, Pipeline};
@@ -34,6 +38,11 @@
 /// Maximum size of the body of a request for a ticket, which is ignored.
 const TICKET_BODY_MAX_BYTES: u64 = 1024;
 
+/// Size of the system's buffers for each direction of a connection, bytes; the system doubles it.
+/// Larger ones would take memory of the host, and would hide for seconds how fast a caller takes a
+/// response. A round trip of 10 ms still permits 200 Mbit/s.
+const SOCKET_BUFFER_BYTES: usize = 128 << 10;
+
 /// Queues an event; returns false if the queue is full.
 pub type Sink = Arc<dyn Fn(Event) -> bool + Send + Sync>;
 /// Looks up the route of a request.
@@ -75,6 +84,10 @@
     pub sink: Sink,
     /// Looks up routes.
     pub lookup: RouteLookup,
+    /// Memory for bodies and responses.
+    pub memory: Memory,
+    /// Maximum number of connections of each listener.
+    pub max_connections: usize,
     /// Limits for callers.
     pub limits: pipeline::CurrentLimits,
     /// Counter for call tokens, shared by all listeners of a daemon.
@@ -95,18 +108,25 @@
     cx: Context,
     stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
-    let limits = cx.limits.clone();
+    // Accepted connections inherit them.
+    sockopt::set_socket_send_buffer_size(&listener, SOCKET_BUFFER_BYTES)?;
+    sockopt::set_socket_recv_buffer_size(&listener, SOCKET_BUFFER_BYTES)?;
+    let (limits, memory) = (cx.limits.clone(), cx.memory.clone());
+    let max_connections = cx.max_connections;
+    let connections = Rc::<Connections>::default();
     let cx = Rc::new(cx);
     let admit: Admit = Rc::new(move |head| admit(&cx, audience, head));
     let serve_connection = {
-        let stop = stop.clone();
+        let (stop, connections) = (stop.clone(), connections.clone());
         move |stream| {
-            let pipeline = Pipeline::new(admit.clone(), limits.clone());
-            connection::serve(stream, pipeline, stop.clone())
+            let pipeline = Pipeline::new(admit.clone(), limits.clone(), memory.clone());
+            connection::serve(stream, pipeline, connections.add(), stop.clone())
         }
     };
-    let max_connections = server::Limits::default().max_connections;
-    server::accept(listener, max_connections, stop, serve_connection).await
+    let make_way = move || {
+        connections.make_way();
+    };
+    server::accept(listener, max_connections, stop, make_way, serve_connection).await
 }
 
 /// Decides on a request by its head.
@@ -149,7 +169,13 @@
             let performed = match read.body {
                 Ok(body) => call(&cx, audience, parsed, *matched, headers, body, read.waited).await,
                 Err(err) => {
-                    let rejected = response::body_error(&err);
+                    let rejected = match err {
+                        BodyError::NoRoom => {
+                            let refusal = Refusal::Overloaded;
+                            response::refused(&cx.convention, refusal, None, ticket.is_some())
+                        }
+                        _ => response::body_error(&err),
+                    };
                     let name = cx.convention.request_id_header;
                     let request = headers.iter().find(|(n, _)| n == name);
                     let subject = Subject {
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -2,6 +2,7 @@
 //! other, and responded to in the order in which they arrived.
 
 mod deadlines;
+mod read_ahead;
 
 use std::cell::Cell;
 use std::fmt;
@@ -9,20 +10,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::{self, LocalBoxFuture};
 use futures_util::stream::FuturesOrdered;
 use hyper::{Method, Response};
 use log::info;
+use pollenrouter_core::memory::Class;
 use pollenrouter_core::table;
 use pollenrouter_http::body::BodyError;
+use pollenrouter_http::memory::{Memory, Party};
 use tokio::time::Instant;
 
 use crate::admission::{Admission, Admit, ReadRequest, Run};
 use crate::buffer::ReadBuffer;
 use crate::decoder::Decoder;
 use crate::head::{self, Framing, HeadError};
+use crate::output::Output;
 use crate::{encode, response};
 
 /// Maximum number of requests of one connection that are worked on at the same time.
@@ -32,6 +36,11 @@
 pub const READ_AHEAD_MAX_BYTES: usize = 32 << 10;
 /// While requests at work and unsent responses hold more bytes, no further request begins.
 pub const HELD_MAX_BYTES: usize = 256 << 10;
+/// Unsent bytes of responses from which a caller that takes them too slowly gives way if memory is
+/// short.
+const LARGE_OUTPUT_BYTES: usize = 32 << 10;
+/// Space for one read, bytes.
+pub(crate) const READ_BYTES: usize = 2048;
 /// Time after the stop for a request that has arrived in part.
 const STOP_READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,7 +59,7 @@
 struct Receiving {
     accepted: Accepted,
     decoder: Decoder,
-    since: Instant,
+    progress: deadlines::Progress,
     /// Whether the caller still waits for [`encode::CONTINUE`].
     is_continue_due: bool,
 }
@@ -68,7 +77,9 @@
 pub struct Pipeline {
     admit: Admit,
     limits: CurrentLimits,
+    pub(crate) memory: Memory,
     pub(crate) input: ReadBuffer,
+    read_ahead: read_ahead::ReadAhead,
     receiving: Option<Receiving>,
     waiting: Option<Waiting>,
     pub(crate) at_work: FuturesOrdered<LocalBoxFuture<'static, Ready>>,
@@ -76,7 +87,9 @@
     is_exclusive: bool,
     /// Bytes of the request bodies at work and of the responses that are not encoded yet.
     held_bytes: Rc<Cell<usize>>,
-    pub(crate) output: BytesMut,
+    pub(crate) output: Output,
+    /// The caller, while it has more than [`LARGE_OUTPUT_BYTES`] to take.
+    taker: Option<Party>,
     /// Whether no further request is read.
     is_closing: bool,
     /// Whether the caller may still be sending when the connection closes.
@@ -84,29 +97,36 @@
     /// Set by a planned stop: when the rest of a request must have arrived.
     pub(crate) stop_deadline: Option<Instant>,
     last_activity: Instant,
-    pub(crate) last_write: Instant,
+    /// When the caller last showed that it takes responses.
+    last_write: Instant,
+    /// Bytes that it has taken since.
+    taken_bytes: usize,
 }
 
 impl Pipeline {
     /// Creates a pipeline without requests.
     #[must_use]
-    pub fn new(admit: Admit, limits: CurrentLimits) -> Self {
+    pub fn new(admit: Admit, limits: CurrentLimits, memory: Memory) -> Self {
         let now = Instant::now();
         Self {
             admit,
             limits,
+            memory,
             input: ReadBuffer::default(),
+            read_ahead: read_ahead::ReadAhead::default(),
             receiving: None,
             waiting: None,
             at_work: FuturesOrdered::new(),
             is_exclusive: false,
             held_bytes: Rc::default(),
-            output: BytesMut::new(),
+            output: Output::default(),
+            taker: None,
             is_closing: false,
             lingers: false,
             stop_deadline: None,
             last_activity: now,
             last_write: now,
+            taken_bytes: 0,
         }
     }
 
@@ -114,7 +134,14 @@
     #[must_use]
     pub fn reads(&self) -> bool {
         let head_max_bytes = (self.limits)().head_bytes;
-        self.input.len() < READ_AHEAD_MAX_BYTES.max(head_max_bytes + 1)
+        !self.is_blocked() && self.input.len() < READ_AHEAD_MAX_BYTES.max(head_max_bytes + 1)
+    }
+
+    /// Whether reading waits for memory.
+    #[must_use]
+    pub fn is_blocked(&self) -> bool {
+        let receiving = self.receiving.as_ref();
+        self.read_ahead.is_blocked() || receiving.is_some_and(|r| r.decoder.is_blocked())
     }
 
     /// Whether the last response has been written.
@@ -127,8 +154,14 @@
         !self.at_work.is_empty() || self.waiting.is_some() || self.receiving.is_some()
     }
 
-    /// Parses what has arrived and begins the requests that may begin.
+    /// Parses what has arrived, begins the requests that may begin, and takes memory for what is
+    /// read next.
     pub fn advance(&mut self) {
+        self.parse();
+        self.read_ahead.reserve(self.input.len(), &self.memory);
+    }
+
+    fn parse(&mut self) {
         loop {
             self.begin_waiting();
             if self.waiting.is_some() {
@@ -187,13 +220,13 @@
                     to_head_request,
                     arrived_at,
                 };
-                match Decoder::new(head.framing, body_max_bytes) {
+                match Decoder::new(head.framing, body_max_bytes, self.memory.clone()) {
                     Err(err) => self.reject(accepted, err),
                     Ok(decoder) => {
                         self.receiving = Some(Receiving {
                             accepted,
                             decoder,
-                            since: now,
+                            progress: deadlines::Progress::new(now),
                             is_continue_due: head.expects_continue,
                         });
                     }
@@ -214,8 +247,10 @@
                 true
             }
             Ok(None) => {
+                receiving.progress.record(&receiving.decoder);
                 if receiving.is_continue_due && self.at_work.is_empty() {
-                    self.output.extend_from_slice(encode::CONTINUE);
+                    self.output
+                        .append(|out| out.extend_from_slice(encode::CONTINUE));
                     receiving.is_continue_due = false;
                 }
                 self.receiving = Some(receiving);
@@ -299,11 +334,27 @@
         let now = Instant::now();
         if self.output.is_empty() {
             self.last_write = now;
+            self.taken_bytes = 0;
         }
         self.last_activity = now;
         self.is_exclusive &= !self.at_work.is_empty();
         let is_last = self.is_closing && !self.has_requests();
         encode::response(&mut self.output, response, *to_head_request, is_last);
+        if self.output.len() > LARGE_OUTPUT_BYTES && self.taker.is_none() {
+            self.taker = Some(self.memory.party(Class::Answer));
+        }
+    }
+
+    /// Removes bytes of the output that the caller has taken.
+    pub fn record_written(&mut self, len: usize) {
+        self.output.advance(len);
+        self.record_taken(len);
+        if let Some(taker) = &self.taker {
+            taker.record_progress(len);
+        }
+        if self.output.is_empty() {
+            self.taker = None;
+        }
     }
 
     /// Completes the requests that have been received, and a request that has arrived in part.
--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -116,6 +116,7 @@
     let status = match err {
         body::BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         body::BodyError::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
+        body::BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         body::BodyError::Incomplete(_) => StatusCode::BAD_REQUEST,
     };
     problem::response(status, CallOutcome::NotRun, &err.to_string())
--- a/crates/caller/tests/listener/bytes_cut.rs
+++ b/crates/caller/tests/listener/bytes_cut.rs
@@ -11,6 +11,8 @@
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use tokio::time::Instant;
 
+use pollenrouter_http::memory::Memory;
+
 use crate::support;
 
 const REQUESTS: &str = "GET /read/1 HTTP/1.1\r\nhost: x\r\n\r\n\
@@ -71,7 +73,7 @@
             let Some((head, len)) = parsed else { break };
             assert!(buf.arrival(len - 1).is_some());
             buf.consume(len);
-            let decoder = Decoder::new(head.framing, support::BODY_MAX_BYTES);
+            let decoder = Decoder::new(head.framing, support::BODY_MAX_BYTES, Memory::unlimited());
             let decoder = decoder.expect("length must be within the limit");
             reading = Some((head.parts.uri.path().to_owned(), decoder));
         }
@@ -123,7 +125,7 @@
         buf.record_read(start.len() + bytes.len(), Instant::now());
         if let Ok(Some((parsed, len))) = head::parse(buf.bytes()) {
             buf.consume(len);
-            if let Ok(mut decoder) = Decoder::new(parsed.framing, support::BODY_MAX_BYTES) {
+            if let Ok(mut decoder) = Decoder::new(parsed.framing, support::BODY_MAX_BYTES, Memory::unlimited()) {
                 let _ = decoder.decode(&mut buf);
             }
         }
--- a/crates/caller/tests/listener/main.rs
+++ b/crates/caller/tests/listener/main.rs
@@ -2,5 +2,6 @@
 
 mod bytes_cut;
 mod closing;
+mod memory;
 mod pipelining;
 mod support;
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -14,12 +14,15 @@
 use pollenrouter_caller::request::ParsedRequest;
 use pollenrouter_core::{http_message, service, table};
 use pollenrouter_http::convention;
+use pollenrouter_http::memory::Memory;
 use tokio::sync::watch;
 use tokio::{runtime, task};
 
 /// Far longer than anything that a test waits for.
 const TIMEOUT: Duration = Duration::from_secs(30);
 pub const BODY_MAX_BYTES: u64 = 1024;
+/// The same below `/write/large`.
+pub const LARGE_BODY_MAX_BYTES: u64 = 64 << 10;
 
 /// A listener, and the events that it sends to the router.
 pub struct Listener {
@@ -38,6 +41,15 @@
 
 /// Starts a listener with limits for callers.
 pub fn start_with(limits: table::CallerLimits, intercept: Intercept) -> Listener {
+    start_limited(limits, intercept, Memory::unlimited())
+}
+
+/// Starts a listener with a memory budget.
+pub fn start_limited(
+    limits: table::CallerLimits,
+    intercept: Intercept,
+    memory: Memory,
+) -> Listener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listener must bind");
     let address = listener
         .local_addr()
@@ -53,6 +65,8 @@
         }),
         lookup: Arc::new(lookup),
         limits: Arc::new(move || limits),
+        memory,
+        max_connections: 1024,
         next_token: Arc::new(AtomicU64::new(1)),
         convention: convention::OWN,
         local_service: None,
@@ -100,7 +114,11 @@
             },
         },
         service: "board".into(),
-        body_bytes: BODY_MAX_BYTES,
+        body_bytes: if req.path.starts_with("/write/large") {
+            LARGE_BODY_MAX_BYTES
+        } else {
+            BODY_MAX_BYTES
+        },
         has_keys: false,
         organisation: None,
     }))
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -34,7 +34,7 @@
 pub const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(3);
 /// Cached answers are evicted after this long.
 pub const ANSWER_TTL: Duration = Duration::from_mins(10);
-/// Total size of the cached answers, bytes.
+/// Maximum total size of the cached answers, bytes; less on a host with little memory.
 pub const ANSWERS_MAX_BYTES: u64 = 16 << 20;
 /// Number of ids that a gate remembers.
 pub const RECORDS_MAX: usize = 1 << 16;
@@ -170,6 +170,7 @@
     /// Ids of the cached answers, with size and time of caching, oldest first.
     cached_answers: VecDeque<(id::CallId, u64, Duration)>,
     cached_bytes: u64,
+    answers_max_bytes: u64,
     service_times: service_times::ServiceTimes,
     /// Whether each of the latest calls failed.
     outcomes: VecDeque<bool>,
@@ -195,6 +196,7 @@
             records: records::Records::new(records_max),
             cached_answers: VecDeque::new(),
             cached_bytes: 0,
+            answers_max_bytes: ANSWERS_MAX_BYTES,
             service_times: service_times::ServiceTimes::default(),
             outcomes: VecDeque::new(),
         }
--- a/crates/core/src/gate/answer_cache.rs
+++ b/crates/core/src/gate/answer_cache.rs
@@ -7,6 +7,14 @@
 use crate::records::{Lookup, State};
 
 impl Gate {
+    /// Bounds the total size of the cached answers to `bytes`, if that is less than
+    /// [`ANSWERS_MAX_BYTES`].
+    #[must_use]
+    pub fn with_answers_max(mut self, bytes: u64) -> Self {
+        self.answers_max_bytes = bytes.min(ANSWERS_MAX_BYTES);
+        self
+    }
+
     pub(super) fn complete(
         &mut self,
         now: Duration,
@@ -28,7 +36,7 @@
         out.push(Output::CacheAnswer(id));
         self.cached_answers.push_back((id, bytes, now));
         self.cached_bytes += bytes;
-        while self.cached_bytes > ANSWERS_MAX_BYTES {
+        while self.cached_bytes > self.answers_max_bytes {
             self.evict_oldest_answer(out);
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod http_message;
 pub mod id;
 pub mod membership;
+pub mod memory;
 pub mod organisation;
 pub mod pause;
 pub mod probe_share;
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -13,7 +13,9 @@
 
 use bytes::Bytes;
 use pollenrouter_core::entry::Sent;
+use pollenrouter_core::memory::Class;
 use pollenrouter_core::{call, id};
+use pollenrouter_http::memory::Memory;
 use quick_error::quick_error;
 use serde::Serialize;
 use tokio::sync::Mutex;
@@ -94,6 +96,7 @@
     local_ip: net::IpAddr,
     shared_endpoint: quinn::Endpoint,
     peer_states: Rc<RefCell<HashMap<Peer, SharedPeerState>>>,
+    memory: Memory,
     sink: protocol::Sink,
 }
 
@@ -105,6 +108,7 @@
     pub fn new(
         config: quinn::ClientConfig,
         local_ip: net::IpAddr,
+        memory: Memory,
         sink: protocol::Sink,
     ) -> io::Result<Self> {
         Ok(Self {
@@ -112,6 +116,7 @@
             local_ip,
             shared_endpoint: open_endpoint(local_ip)?,
             peer_states: Rc::default(),
+            memory,
             sink,
         })
     }
@@ -211,8 +216,8 @@
         let connection = peer_connection.connection;
         let (mut tx, mut rx) = connection.open_bi().await.map_err(|_| Sent::Nothing)?;
         let round_trip = async {
-            frame::write(&mut tx, head, body).await?;
-            read_reply(&mut rx).await
+            frame::write(&mut tx, head, body, None).await?;
+            read_reply(&mut rx, &self.memory).await
         };
         tokio::select! {
             reply = round_trip => reply.map_err(|err| {
@@ -230,7 +235,7 @@
     async fn notify(&self, peer: &Peer, head: &impl Serialize) -> Result<(), ()> {
         let connection = self.connection(peer).await.map_err(drop)?.connection;
         let mut tx = connection.open_uni().await.map_err(drop)?;
-        frame::write(&mut tx, head, &Bytes::new())
+        frame::write(&mut tx, head, &Bytes::new(), None)
             .await
             .map_err(drop)?;
         tokio::select! {
@@ -294,7 +299,7 @@
         };
         let config = self.config.clone();
         let connecting = endpoint.connect_with(config, address, tls::SERVER_NAME)?;
-        time::timeout(CONNECT_TIMEOUT, establish(connecting))
+        time::timeout(CONNECT_TIMEOUT, establish(connecting, &self.memory))
             .await
             .map_err(|_| ConnectError::Timeout(address))?
     }
@@ -305,19 +310,22 @@
 }
 
 /// Completes the handshake and reads the peer's incarnation.
-async fn establish(connecting: quinn::Connecting) -> Result<PeerConnection, ConnectError> {
+async fn establish(
+    connecting: quinn::Connecting,
+    memory: &Memory,
+) -> Result<PeerConnection, ConnectError> {
     let connection = connecting.await?;
     let mut rx = connection.accept_uni().await?;
-    let incarnation = frame::read_head(&mut rx).await?;
+    let incarnation = frame::read_head(&mut rx, memory).await?;
     Ok(PeerConnection {
         connection,
         incarnation,
     })
 }
 
-async fn read_reply(rx: &mut quinn::RecvStream) -> Result<GateReply, FrameError> {
-    let head: ReplyHead = frame::read_head(rx).await?;
-    let body = frame::read_body(rx, head.body_bytes).await?;
+async fn read_reply(rx: &mut quinn::RecvStream, memory: &Memory) -> Result<GateReply, FrameError> {
+    let head: ReplyHead = frame::read_head(rx, memory).await?;
+    let body = frame::read_body(rx, head.body_bytes, memory.share(Class::Answer)).await?;
     Ok(GateReply {
         reply: head.reply,
         load: head.load,
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -1,22 +1,45 @@
 //! Frames on a stream: the length of the head, the head in postcard, then the body up
 //! to the end of the stream.
 
+use std::pin::pin;
+use std::time::Duration;
+
 use bytes::Bytes;
 use pollenrouter_core::gate::statement::TargetNotice;
+use pollenrouter_core::memory::Class;
 use pollenrouter_core::{call, hint, http_message};
+use pollenrouter_http::memory::{GIVE_WAY_CHECK_INTERVAL, Memory, Party, Share};
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use tokio::time::{self, Instant};
+
 use crate::message;
 
 /// Maximum size of a head, bytes.
 const HEAD_MAX_BYTES: u32 = 1 << 20;
 /// Maximum size of a body, bytes.
 pub const BODY_MAX_BYTES: u64 = 64 << 20;
+/// Heads and bodies up to this size take no share of the memory, bytes.
+const SMALL_MAX_BYTES: usize = 4 << 10;
+/// First size of a larger buffer, bytes.
+const BUFFER_MIN_BYTES: usize = 16 << 10;
+/// Maximum size of one read or write, bytes.
+const PIECE_BYTES: usize = 64 << 10;
+/// Time in which a peer has to take a piece. Far longer than a loss of packets lasts on a
+/// connection that is not silent.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which a request waits for memory. Less than most deadlines, so that the entry can
+/// offer the call elsewhere.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Head of a message that expects a reply, sent on a bidirectional stream.
 #[derive(Debug, Serialize, Deserialize)]
+#[allow(
+    clippy::large_enum_variant,
+    reason = "almost all heads are offers, and none is kept"
+)]
 pub enum RpcHead {
     /// Offers a call; the request's body follows.
     Offer {
@@ -77,6 +100,14 @@
         Read(reason: String) {
             display("could not read from the stream: {reason}")
         }
+        /// The peer takes the bytes too slowly.
+        Slow {
+            display("the peer takes the bytes too slowly")
+        }
+        /// There was no memory for the bytes in time.
+        NoRoom {
+            display("no memory for the bytes within {} ms", ROOM_TIMEOUT.as_millis())
+        }
         /// The head or the body exceeds its size limit.
         TooLong(part: &'static str, bytes: u64) {
             display("{part} of {bytes} bytes exceeds the size limit")
@@ -88,14 +119,16 @@
     }
 }
 
-/// Writes a head and a body, and finishes the stream.
+/// Writes a head and a body, and finishes the stream. `taker` is told of the progress.
 ///
 /// # Errors
-/// [`FrameError`] if the connection fails or the head cannot be encoded or is too long.
+/// [`FrameError`] if the connection fails, the peer takes the bytes too slowly, or the head cannot
+/// be encoded or is too long.
 pub async fn write<T: Serialize>(
     tx: &mut quinn::SendStream,
     head: &T,
     body: &Bytes,
+    taker: Option<&Party>,
 ) -> Result<(), FrameError> {
     let head = postcard::to_stdvec(head)?;
     let len = u32::try_from(head.len()).unwrap_or(u32::MAX);
@@ -105,45 +138,143 @@
     let mut buf = Vec::with_capacity(head.len() + size_of::<u32>());
     buf.extend_from_slice(&len.to_be_bytes());
     buf.extend_from_slice(&head);
-    tx.write_all_chunks(&mut [Bytes::from(buf), body.clone()])
-        .await?;
+    if body.len() <= PIECE_BYTES {
+        let pieces = &mut [Bytes::from(buf), body.clone()];
+        within(tx.write_all_chunks(pieces), taker).await??;
+    } else {
+        within(tx.write_all_chunks(&mut [Bytes::from(buf)]), taker).await??;
+        let mut left = body.clone();
+        while !left.is_empty() {
+            let piece = left.split_to(PIECE_BYTES.min(left.len()));
+            let len = piece.len();
+            within(tx.write_chunk(piece), taker).await??;
+            if let Some(taker) = taker {
+                taker.record_progress(len);
+            }
+        }
+    }
     // Fails only if the peer has stopped the stream; the peer's reply, or its absence,
     // then determines the outcome.
     let _ = tx.finish();
     Ok(())
 }
 
+/// Waits for a read or a write, and gives up if the peer does not move in time or has to give way.
+async fn within<T>(work: impl Future<Output = T>, peer: Option<&Party>) -> Result<T, FrameError> {
+    let mut work = pin!(work);
+    let deadline = Instant::now() + PIECE_TIMEOUT;
+    loop {
+        match time::timeout(GIVE_WAY_CHECK_INTERVAL, work.as_mut()).await {
+            Ok(done) => return Ok(done),
+            Err(_) if Instant::now() >= deadline => return Err(FrameError::Slow),
+            Err(_) if peer.is_some_and(Party::must_give_way) => return Err(FrameError::Slow),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Waits until the peer has received a finished stream, and gives up if it is too slow.
+///
+/// # Errors
+/// [`FrameError::Slow`] if it is too slow.
+pub async fn wait_until_taken(
+    tx: &mut quinn::SendStream,
+    taker: Option<&Party>,
+) -> Result<(), FrameError> {
+    let stopped = tx.stopped();
+    // A lost connection needs no further wait.
+    within(stopped, taker).await.map(drop)
+}
+
 /// Reads a head.
 ///
 /// # Errors
-/// [`FrameError`] if the connection fails, or the head is too long or cannot be decoded.
-pub async fn read_head<T: DeserializeOwned>(rx: &mut quinn::RecvStream) -> Result<T, FrameError> {
+/// [`FrameError`] if the connection fails, there is no memory, or the head is too long or cannot be
+/// decoded.
+pub async fn read_head<T: DeserializeOwned>(
+    rx: &mut quinn::RecvStream,
+    memory: &Memory,
+) -> Result<T, FrameError> {
     let mut len = [0; size_of::<u32>()];
     rx.read_exact(&mut len).await.map_err(read_error)?;
     let len = u32::from_be_bytes(len);
     if len > HEAD_MAX_BYTES {
         return Err(FrameError::TooLong("head", len.into()));
     }
-    let mut buf = vec![0; len as usize];
-    rx.read_exact(&mut buf).await.map_err(read_error)?;
-    Ok(postcard::from_bytes(&buf)?)
+    let mut share = memory.share(Class::Request);
+    let head = collect(rx, len as usize, &mut share).await?;
+    if head.len() < len as usize {
+        return Err(read_error("the stream ends within a head"));
+    }
+    Ok(postcard::from_bytes(&head)?)
 }
 
 /// Reads a body to the end of the stream and checks its size.
 ///
 /// # Errors
-/// [`FrameError`] if the connection fails or the body does not have the expected size.
-pub async fn read_body(rx: &mut quinn::RecvStream, expected: u64) -> Result<Bytes, FrameError> {
+/// [`FrameError`] if the connection fails, there is no memory, or the body does not have the
+/// expected size.
+pub async fn read_body(
+    rx: &mut quinn::RecvStream,
+    expected: u64,
+    mut share: Share,
+) -> Result<Bytes, FrameError> {
     if expected > BODY_MAX_BYTES {
         return Err(FrameError::TooLong("body", expected));
     }
     let limit = usize::try_from(expected).unwrap_or(usize::MAX);
-    let body = rx.read_to_end(limit).await.map_err(read_error)?;
-    let found = body.len() as u64;
-    if found != expected {
-        return Err(FrameError::BodySize(expected, found));
+    let body = collect(rx, limit, &mut share).await?;
+    let more = rx.read_chunk(1, true).await.map_err(read_error)?;
+    let found = body.len() + more.map_or(0, |more| more.bytes.len());
+    if found as u64 != expected {
+        return Err(FrameError::BodySize(expected, found as u64));
+    }
+    Ok(if body.len() > SMALL_MAX_BYTES {
+        share.hold(body)
+    } else {
+        body.into()
+    })
+}
+
+/// Reads `len` bytes, or less if the stream ends before. Memory is taken as the bytes arrive.
+async fn collect(
+    rx: &mut quinn::RecvStream,
+    len: usize,
+    share: &mut Share,
+) -> Result<Vec<u8>, FrameError> {
+    let mut buf = Vec::new();
+    let mut sender = None;
+    while buf.len() < len {
+        if buf.len() == buf.capacity() {
+            let total = (2 * buf.len()).max(BUFFER_MIN_BYTES).min(len);
+            if total > SMALL_MAX_BYTES {
+                sender.get_or_insert_with(|| share.party());
+                grow(share, total as u64).await?;
+            }
+            buf.reserve_exact(total - buf.len());
+        }
+        let max = (buf.capacity().min(len) - buf.len()).min(PIECE_BYTES);
+        let reading = within(rx.read_chunk(max, true), sender.as_ref()).await?;
+        let Some(chunk) = reading.map_err(read_error)? else {
+            break;
+        };
+        buf.extend_from_slice(&chunk.bytes);
+        if let Some(sender) = &sender {
+            sender.record_progress(chunk.bytes.len());
+        }
+    }
+    Ok(buf)
+}
+
+/// Takes memory. An answer waits until there is some, because the target has made it; a request
+/// does not wait for long, because it can go elsewhere.
+async fn grow(share: &mut Share, total: u64) -> Result<(), FrameError> {
+    if share.class() == Class::Answer {
+        share.grow(total).await;
+        return Ok(());
     }
-    Ok(body.into())
+    let growing = time::timeout(ROOM_TIMEOUT, share.grow(total)).await;
+    growing.map_err(|_| FrameError::NoRoom)
 }
 
 /// Converts an error of a stream or a connection into [`FrameError::Read`].
--- a/crates/daemon/src/protocol.rs
+++ b/crates/daemon/src/protocol.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use pollenrouter_core::id;
+use pollenrouter_http::memory::Memory;
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
@@ -31,6 +32,7 @@
     socket: net::UdpSocket,
     incarnation: id::Incarnation,
     transport: tls::Transport,
+    memory: Memory,
     mut commands: mpsc::Receiver<Command>,
     sink: Sink,
 ) -> io::Result<()> {
@@ -42,10 +44,11 @@
     task::spawn_local(server::accept(
         endpoint.clone(),
         incarnation,
+        memory.clone(),
         sink.clone(),
         open_streams.clone(),
     ));
-    let client = client::Client::new(transport.client, local_ip, sink)?;
+    let client = client::Client::new(transport.client, local_ip, memory, sink)?;
     while let Some(command) = commands.recv().await {
         client.execute(command);
     }
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -23,8 +23,15 @@
 /// Concurrent streams of a connection for messages without a reply; bounded for the same
 /// reason.
 const NOTIFICATION_STREAMS_MAX: u32 = 64;
-/// Receive window of each stream, bytes.
-const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+/// Receive window of each stream, bytes: what a link of 200 Mbit/s carries in 10 ms, which is
+/// longer than a round trip between failure domains.
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+/// Receive window of all streams of a connection, bytes. Streams that wait for memory keep theirs,
+/// and the others still need some.
+const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
+/// Bytes of a connection that are sent and not acknowledged; for one stream as much as the window
+/// of a peer, for all a bound on what a peer that reads nothing keeps.
+const SEND_WINDOW_BYTES: u64 = 2 << 20;
 
 quick_error! {
     /// The transport settings could not be built.
@@ -183,6 +190,8 @@
     settings.max_concurrent_bidi_streams(RPC_STREAMS_MAX.into());
     settings.max_concurrent_uni_streams(NOTIFICATION_STREAMS_MAX.into());
     settings.stream_receive_window(STREAM_WINDOW_BYTES.into());
+    settings.receive_window(CONNECTION_WINDOW_BYTES.into());
+    settings.send_window(SEND_WINDOW_BYTES);
     Ok(settings)
 }
 
--- a/crates/daemon/tests/transport.rs
+++ b/crates/daemon/tests/transport.rs
@@ -18,6 +18,7 @@
 use pollenrouter_daemon::keys::{self, Keys};
 use pollenrouter_daemon::message::{Answer, Command, Event, GateReply, Peer, Request};
 use pollenrouter_daemon::{protocol, tls};
+use pollenrouter_http::memory::Memory;
 use tokio::sync::mpsc as async_mpsc;
 use tokio::{runtime, task};
 
@@ -46,7 +47,14 @@
     let sink: protocol::Sink = Arc::new(move |event| tx.send(event).is_ok());
     thread::spawn(move || {
         let runtime = runtime::Builder::new_current_thread().enable_all().build();
-        let work = protocol::run(socket, incarnation, transport, rx, sink);
+        let work = protocol::run(
+            socket,
+            incarnation,
+            transport,
+            Memory::unlimited(),
+            rx,
+            sink,
+        );
         let runtime = runtime.expect("runtime must start");
         task::LocalSet::new().block_on(&runtime, work)
     });
--- a/crates/dev/src/target.rs
+++ b/crates/dev/src/target.rs
@@ -27,6 +27,8 @@
 use crate::ledger::{self, Ledger, LedgerRecord, Step};
 
 const BODY_MAX_BYTES: u64 = 16 << 20;
+/// More than any test opens.
+const CONNECTIONS_MAX: usize = 1024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
 const CALL_HEADER: &str = "pollenrouter-call";
@@ -149,6 +151,10 @@
         rng: RefCell::new(SmallRng::seed_from_u64(profile.seed)),
         profile,
     });
+    let limits = server::Limits {
+        max_connections: CONNECTIONS_MAX,
+        ..server::Limits::default()
+    };
     let announcer = target.clone();
     let handler = move |req| {
         let target = target.clone();
@@ -156,7 +162,7 @@
     };
     task::LocalSet::new().block_on(&runtime, async move {
         task::spawn_local(async move { announcer.announce_periodically(address).await });
-        server::serve(listener, server::Limits::default(), stopping, handler).await
+        server::serve(listener, limits, stopping, handler).await
     })?;
     Ok(())
 }
--- a/crates/dev/tests/hostile/crowd.rs
+++ b/crates/dev/tests/hostile/crowd.rs
@@ -25,7 +25,7 @@
             Some(stream)
         };
         let running: Vec<_> = (0..clients).map(|_| scope.spawn(run)).collect();
-        let ended = running.into_iter().map(|run| run.join());
+        let ended = running.into_iter().map(thread::ScopedJoinHandle::join);
         ended
             .filter_map(|stream| stream.expect("client must end"))
             .collect()
--- a/crates/dev/tests/hostile/main.rs
+++ b/crates/dev/tests/hostile/main.rs
@@ -11,4 +11,5 @@
 mod bodies;
 mod connections;
 mod crowd;
+mod peers;
 mod site;
--- a/crates/dev/tests/hostile/site.rs
+++ b/crates/dev/tests/hostile/site.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -38,7 +38,7 @@
         let mut plan = support::two_service_plan(1, 0);
         let dir = tempfile::TempDir::new().expect("directory must be created");
         for service in &plan.services {
-            write_document(&plan.documents, &dir.path().to_path_buf(), service.name);
+            write_document(&plan.documents, dir.path(), service.name);
         }
         plan.documents = dir.path().to_path_buf();
         // The wait is that of deploy/settings.yaml: a call that its target does not end keeps its
@@ -107,14 +107,14 @@
 }
 
 /// Writes the example document of a service with the lowered limits.
-fn write_document(from: &std::path::Path, to: &PathBuf, name: &str) {
+fn write_document(from: &Path, to: &Path, name: &str) {
     let file = format!("{name}.yaml");
     let text = fs::read_to_string(from.join(&file)).expect("example must be readable");
     let limits = ["answer_bytes:", "request_bytes:"];
     let lines = text
         .lines()
         .filter(|line| !limits.iter().any(|limit| line.trim().starts_with(limit)));
-    let text: String = lines.map(|line| format!("{line}\n")).collect();
+    let text = lines.collect::<Vec<_>>().join("\n");
     let lowered = format!("limits:\n  request_bytes: {BODY_BYTES}\n  answer_bytes: {BODY_BYTES}\n");
     let text = text.replacen("limits:\n", &lowered, 1);
     fs::write(to.join(file), text).expect("document must be written");
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,14 +2,19 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use pollenrouter_core::memory::Class;
 use quick_error::quick_error;
 use tokio::sync::Semaphore;
 use tokio::time::{self, Instant};
 
-/// A body up to this size is not limited by [`Memory`], bytes.
+use crate::memory;
+
+/// A body up to this size takes no share of the budget, bytes.
+const UNCOUNTED_MAX_BYTES: usize = 4 << 10;
+/// A body up to this size does not wait for others that are read, bytes.
 pub const SMALL_MAX_BYTES: u64 = 32 << 10;
 /// Size above which a body is large, bytes.
 const MEDIUM_MAX_BYTES: u64 = 256 << 10;
@@ -30,6 +35,10 @@
         Timeout(timeout: Duration) {
             display("body did not arrive within {} ms", timeout.as_millis())
         }
+        /// The process is short of memory, and others go first.
+        NoRoom {
+            display("memory is short and the body came too slowly or too late")
+        }
         /// The connection failed or closed before the end of the body.
         Incomplete(reason: String) {
             display("body is not whole: {reason}")
@@ -37,18 +46,23 @@
     }
 }
 
-/// Limits how many medium and large bodies are read at the same time. A body that has to wait is
+/// Limits how many medium and large bodies are read at the same time, and takes their bytes from
+/// the budget of the process. A body that has to wait is
 /// not read on, so that the other side cannot send on. A large body that waits keeps its place
 /// among the medium ones, and none of those waits for a large one: they cannot block each other.
 #[derive(Debug)]
 pub struct Memory {
     medium: Semaphore,
     large: Semaphore,
+    budget: memory::Memory,
 }
 
-impl Default for Memory {
-    fn default() -> Self {
+impl Memory {
+    /// Creates a limit for bodies that take their bytes from `budget`.
+    #[must_use]
+    pub fn new(budget: memory::Memory) -> Self {
         Self {
+            budget,
             medium: Semaphore::new(MEDIUM_BODIES),
             large: Semaphore::new(LARGE_BODIES),
         }
@@ -92,7 +106,8 @@
     if hint.lower() > limit {
         return Err(BodyError::TooLarge(limit));
     }
-    let mut collected = BytesMut::new();
+    let mut collected = Vec::new();
+    let mut share = memory.map(|memory| memory.budget.share(Class::Answer));
     let (mut medium, mut large) = (None, None);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| BodyError::Incomplete(err.to_string()))?;
@@ -118,13 +133,22 @@
             large = memory.large.acquire().await.ok();
             reserve(&mut collected, limit);
         }
+        if let Some(share) = &mut share
+            && len > UNCOUNTED_MAX_BYTES as u64
+        {
+            share.grow(len.max((2 * len).min(limit))).await;
+        }
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    collected.shrink_to_fit();
+    Ok(match share {
+        Some(share) if collected.len() > UNCOUNTED_MAX_BYTES => share.hold(collected),
+        _ => collected.into(),
+    })
 }
 
 /// Makes room for `total` bytes at once, so that the buffer does not grow by copies of itself.
-fn reserve(buf: &mut BytesMut, total: u64) {
+fn reserve(buf: &mut Vec<u8>, total: u64) {
     let total = usize::try_from(total).unwrap_or(usize::MAX);
-    buf.reserve(total.saturating_sub(buf.len()));
+    buf.reserve_exact(total.saturating_sub(buf.len()));
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod clock;
 pub mod convention;
 pub mod head;
+pub mod memory;
 pub mod problem;
 pub mod server;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,11 +18,13 @@
 use log::{debug, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::{task, time};
 
 /// Delay before accepting again after an error, usually a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Interval at which a connection is asked to make way while there are too many.
+const MAKE_WAY_INTERVAL: Duration = Duration::from_millis(20);
 const HEAD_TIMEOUT_PROBLEM: &str =
     r#"{"status":408,"detail":"the head did not arrive in time","outcome":"not-run"}"#;
 
@@ -46,7 +48,8 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            max_connections: 1024,
+            // Targets, operators and probes; callers have listeners of their own.
+            max_connections: 32,
             max_head_bytes: 16 << 10,
             max_headers: 64,
             head_timeout: Duration::from_secs(10),
@@ -73,10 +76,11 @@
     let stopping = stop.clone();
     let serve_one =
         move |stream| serve_connection(stream, limits, stopping.clone(), handler.clone());
-    accept(listener, limits.max_connections, stop, serve_one).await
+    accept(listener, limits.max_connections, stop, || (), serve_one).await
 }
 
-/// Accepts connections and serves each with `serve_one`. Returns once `stop` has become true
+/// Accepts connections and serves each with `serve_one`. While there are `max_connections`,
+/// `make_way` is called for each that could be accepted, and may close another one. Returns once `stop` has become true
 /// and all connections have ended. Must run inside a [`task::LocalSet`].
 ///
 /// # Errors
@@ -85,6 +89,7 @@
     listener: net::TcpListener,
     max_connections: usize,
     mut stop: watch::Receiver<bool>,
+    make_way: impl Fn(),
     serve_one: impl Fn(TcpStream) -> F,
 ) -> std::io::Result<()>
 where
@@ -95,7 +100,7 @@
     let permits = Arc::new(Semaphore::new(max_connections));
     let mut connections = task::JoinSet::new();
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
+        let Some(permit) = acquire(&permits, &mut stop, &make_way).await else {
             break;
         };
         let stream = tokio::select! {
@@ -121,6 +126,29 @@
     Ok(())
 }
 
+/// Waits until another connection may be accepted; returns `None` once `stop` has become true.
+async fn acquire(
+    permits: &Arc<Semaphore>,
+    stop: &mut watch::Receiver<bool>,
+    make_way: &impl Fn(),
+) -> Option<OwnedSemaphorePermit> {
+    loop {
+        if let Ok(permit) = permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        make_way();
+        let acquiring = time::timeout(MAKE_WAY_INTERVAL, permits.clone().acquire_owned());
+        tokio::select! {
+            acquired = acquiring => {
+                if let Ok(permit) = acquired {
+                    return permit.ok();
+                }
+            }
+            _ = stop.wait_for(|stop| *stop) => return None,
+        }
+    }
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: Limits,
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -32,7 +32,7 @@
 const DEFAULT_DESCRIPTORS: u64 = 4100;
 /// With fewer, nothing would be left for callers beside files, the platform, other daemons and
 /// the target.
-const DESCRIPTORS: RangeInclusive<u64> = 300..=1_048_576;
+const DESCRIPTORS: RangeInclusive<u64> = 400..=1_048_576;
 
 /// Checked settings.
 #[derive(Clone, Debug)]
--- a/crates/router/src/calls.rs
+++ b/crates/router/src/calls.rs
@@ -107,6 +107,8 @@
     pub targets_report_load: bool,
     /// Clock that deadlines go by.
     pub clock: Clock,
+    /// Total size of the answers kept for resends, bytes.
+    pub answers_max_bytes: u64,
 }
 
 /// A call with the retry and overload policy of its service.
@@ -131,6 +133,7 @@
     ) -> Self {
         let gate = gate::Gate::new(incarnation, gate::RECORDS_MAX)
             .with_announcement_ttl(config.announcement_ttl)
+            .with_answers_max(config.answers_max_bytes)
             .awaiting_departures();
         let gate = if config.targets_report_load {
             gate.with_load_requests()
--- a/crates/router/src/calls/outputs.rs
+++ b/crates/router/src/calls/outputs.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use log::{info, warn};
 use pollenrouter_caller::message::{CallerResult, CallerResultKind};
 use pollenrouter_core::call::{self, Refusal, Reply, UnknownReason};
@@ -186,11 +185,10 @@
         }
     }
 
-    /// Caches an answer in a buffer of its exact size; the one that it was read into is
-    /// much larger.
+    /// Caches an answer. A body is held in a buffer of its exact size, which draws on the memory
+    /// budget until it is evicted.
     fn cache_answer(&mut self, id: id::CallId) {
-        if let Some(answer) = self.answers.get_mut(&id) {
-            answer.body = Bytes::copy_from_slice(&answer.body);
+        if self.answers.contains_key(&id) {
             self.cached_ids.insert(id);
         }
     }
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -6,10 +6,12 @@
 use opentelemetry::{KeyValue, Value};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use pollenrouter_core::hint;
+use pollenrouter_http::memory::Memory;
 use prometheus::{Encoder, TextEncoder};
 
 use crate::error::Error;
 use crate::fleet::staleness;
+use crate::memory_metrics;
 
 const METER_NAME: &str = "pollenrouter";
 
@@ -32,7 +34,7 @@
 }
 
 /// Creates the instruments, and the registry that [`render`] reads them from.
-pub fn build() -> Result<(Instruments, prometheus::Registry), Error> {
+pub fn build(memory: &Memory) -> Result<(Instruments, prometheus::Registry), Error> {
     let registry = prometheus::Registry::new();
     let exporter = opentelemetry_prometheus::exporter()
         .with_registry(registry.clone())
@@ -40,6 +42,7 @@
         .map_err(|err| Error::Metrics(err.to_string()))?;
     let provider = SdkMeterProvider::builder().with_reader(exporter).build();
     let meter = provider.meter(METER_NAME);
+    memory_metrics::register(&meter, memory);
     let instruments = Instruments {
         calls: meter.u64_counter("pollenrouter_calls").build(),
         call_duration: meter.f64_histogram("pollenrouter_call_seconds").build(),
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -1,7 +1,7 @@
 //! Starts the threads of a daemon, connects them by bounded channels, and runs it.
 
 use std::iter;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, PoisonError, mpsc};
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pollenrouter_caller::listener as callers;
-use pollenrouter_core::{id, membership, quarantine, service, table, watching};
+use pollenrouter_caller::{connections, listener as callers};
+use pollenrouter_core::{id, membership, memory, quarantine, service, table, watching};
 use pollenrouter_daemon::{keys, message as daemon, protocol, tls};
 use pollenrouter_http::clock;
 use pollenrouter_http::convention::Convention;
+use pollenrouter_http::memory::Memory;
 use pollenrouter_operator::{listener as operators, settings};
 use pollenrouter_platform::client::Client;
 use pollenrouter_platform::object::{Member, MemberState};
@@ -32,12 +33,15 @@
 use crate::profile::Profile;
 use crate::router::Router;
 use crate::routes;
+use crate::sockets::{self, Sockets};
 use crate::timer::{self, Timer};
 
 /// Number of commands that can wait for the protocol, or for the client of the target.
 const COMMAND_CHANNEL_CAPACITY: usize = 4096;
 /// Number of consecutive announcements that may be missed before a target counts as gone.
 const MISSED_ANNOUNCEMENTS_MAX: u32 = 3;
+/// Part of the memory budget that answers kept for resends may take.
+const ANSWERS_SHARE: u64 = 8;
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval of checks for changed settings, short enough for an operator to see a mistake
 /// while still editing them.
@@ -45,19 +49,12 @@
 /// Wait before the exit for the last write to the platform and the last answers.
 const FINAL_WRITES_WAIT: Duration = Duration::from_millis(300);
 
-struct Sockets {
-    public: TcpListener,
-    internal: Option<TcpListener>,
-    target: TcpListener,
-    operator: TcpListener,
-    metrics: Option<TcpListener>,
-    daemons: UdpSocket,
-}
-
 /// What the thread that handles calls owns.
 struct Components {
     sockets: Sockets,
     transport: tls::Transport,
+    memory: Memory,
+    max_connections: usize,
     incarnation: id::Incarnation,
     convention: Convention,
     parse_announcement: announcement::ParseFn,
@@ -97,7 +94,11 @@
             key: keys.key.to_string(),
         })?,
     };
-    let sockets = bind_sockets(&settings.listen)?;
+    let sockets = sockets::bind(&settings.listen)?;
+    let budget = memory::limit(settings.memory_mb, settings.descriptors);
+    let memory = Memory::new(budget);
+    let listeners = 1 + usize::from(sockets.internal.is_some());
+    let max_connections = connections::max_of(settings.descriptors) / listeners;
     let (tx, rx) = async_mpsc::channel(event::CHANNEL_CAPACITY);
     let (to_daemons, daemon_commands) = async_mpsc::channel(COMMAND_CHANNEL_CAPACITY);
     let (to_target, target_commands) = async_mpsc::channel(COMMAND_CHANNEL_CAPACITY);
@@ -106,10 +107,10 @@
     let listener_state = SharedListenerState::default();
     let watch_duty = Arc::<duty::Duty>::default();
     let confirmed = Arc::new(AtomicBool::new(false));
-    let (instruments, metrics) = instruments::build()?;
+    let (instruments, metrics) = instruments::build(&memory)?;
 
     let own = own_member(settings, incarnation, sockets.daemons.local_addr()?);
-    log_listening(&own, &sockets)?;
+    sockets::log(&own, &sockets)?;
     let client = Client::with_dialect(&settings.platform, profile.dialect);
     platform_io::start_writer(
         client.clone(),
@@ -137,6 +138,7 @@
         caller_header: profile.convention.caller_header,
         targets_report_load: profile.convention.load_header.is_some(),
         clock: clock::boot_time,
+        answers_max_bytes: budget / ANSWERS_SHARE,
     };
     let calls = Calls::new(calls_config, incarnation, channels, instruments);
     let (convention, parse_announcement) = (profile.convention, profile.parse_announcement);
@@ -154,6 +156,8 @@
     let components = Components {
         sockets,
         transport,
+        memory,
+        max_connections,
         incarnation,
         convention,
         parse_announcement,
@@ -202,50 +206,14 @@
     }
 }
 
-fn bind_sockets(listen: &settings::ListenAddresses) -> Result<Sockets, Error> {
-    let tcp =
-        |name, address| TcpListener::bind(address).map_err(|err| Error::Listen(name, address, err));
-    Ok(Sockets {
-        public: tcp("public", listen.public)?,
-        internal: listen
-            .internal
-            .map(|address| tcp("internal", address))
-            .transpose()?,
-        target: tcp("target", listen.target)?,
-        operator: tcp("operator", listen.operator)?,
-        metrics: listen
-            .metrics
-            .map(|address| tcp("metrics", address))
-            .transpose()?,
-        daemons: UdpSocket::bind(listen.daemons)
-            .map_err(|err| Error::Listen("daemons", listen.daemons, err))?,
-    })
-}
-
-fn log_listening(own: &Member, sockets: &Sockets) -> Result<(), Error> {
-    let internal = match &sockets.internal {
-        Some(listener) => listener.local_addr()?.to_string(),
-        None => String::new(),
-    };
-    info!(
-        host:% = own.host,
-        incarnation:% = format!("{:x}", own.incarnation),
-        public:% = sockets.public.local_addr()?,
-        internal:%,
-        announcements:% = sockets.target.local_addr()?,
-        operator:% = sockets.operator.local_addr()?,
-        daemons:% = own.address;
-        "listening"
-    );
-    Ok(())
-}
-
 /// Runs the listeners, the protocol, the client of the target and the router on one thread,
 /// so that passing a call between them wakes no other thread.
 async fn run_components(components: Components) -> std::io::Result<()> {
     let Components {
         sockets,
         transport,
+        memory,
+        max_connections,
         incarnation,
         convention,
         parse_announcement,
@@ -269,6 +237,7 @@
         sockets.daemons,
         incarnation,
         transport,
+        memory.clone(),
         daemon_commands,
         sink,
     ));
@@ -282,7 +251,8 @@
                 .try_send(Event::Target(event))
                 .or_else(recover_event)
         }),
-    );
+    )
+    .with_memory(memory.clone());
     let announcement_context = announcement::Context {
         parse: parse_announcement,
         sender: sender.clone(),
@@ -304,7 +274,8 @@
             stopping.clone(),
         ));
     }
-    let mut caller_context = build_caller_context(convention, listener_state, tx);
+    let mut caller_context = build_caller_context(&convention, memory, listener_state, tx);
+    caller_context.max_connections = max_connections;
     caller_context.local_service = service;
     let audiences = [service::Audience::Everyone, service::Audience::Internal];
     let listeners = iter::once(sockets.public).chain(sockets.internal);
@@ -374,7 +345,8 @@
 }
 
 fn build_caller_context(
-    convention: Convention,
+    convention: &Convention,
+    memory: Memory,
     listener_state: SharedListenerState,
     tx: event::Sender,
 ) -> callers::Context {
@@ -392,8 +364,10 @@
             let table = state.table.as_ref();
             table.map_or_else(table::CallerLimits::default, |table| table.caller_limits)
         }),
+        memory,
+        max_connections: 0,
         next_token: Arc::new(AtomicU64::new(1)),
-        convention,
+        convention: *convention,
         local_service: None,
     }
 }
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -19,6 +19,7 @@
 use pollenrouter_core::{gate, http_message, id};
 use pollenrouter_http::clock::Clock;
 use pollenrouter_http::convention::Convention;
+use pollenrouter_http::memory::Memory;
 use pollenrouter_http::{body, client, head};
 use tokio::sync::Notify;
 use tokio::{task, time};
@@ -77,12 +78,19 @@
             convention,
             clock,
             answer_wait,
-            answer_memory: Rc::default(),
+            answer_memory: Rc::new(body::Memory::new(Memory::unlimited())),
             unreadable_rate: Rc::default(),
             sink,
         }
     }
 
+    /// Takes the memory for answers from `memory`.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Memory) -> Self {
+        self.answer_memory = Rc::new(body::Memory::new(memory));
+        self
+    }
+
     fn set_address(&self, address: net::SocketAddr) {
         let mut client = self.client.borrow_mut();
         if client.as_ref().is_none_or(|c| c.address() != address) {
