Let shares of the budget cost nothing until they grow

Each answer of a target and each head between daemons opened and closed a share: two locks and a notification for messages that take no room. A share now opens with its first bytes. Ruled out: a second kind of share for small messages, which every reader would have to choose. Tests of caller, daemon, target and http pass; the cost of a request was not measured.

--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -59,14 +59,13 @@
         self.budget().report()
     }
 
-    /// Opens a share without bytes.
+    /// A share without bytes. It costs the budget nothing until it grows.
     #[must_use]
     pub fn share(&self, class: Class) -> Share {
-        let id = self.budget().open();
         Share {
             memory: self.clone(),
             class,
-            id,
+            id: None,
             bytes: 0,
         }
     }
@@ -106,7 +105,8 @@
 pub struct Share {
     memory: Memory,
     class: Class,
-    id: Id,
+    /// `None` until it is used.
+    id: Option<Id>,
     bytes: u64,
 }
 
@@ -130,8 +130,8 @@
         if more == 0 {
             return true;
         }
-        let now = self.memory.now();
-        let taken = self.memory.budget().take(now, self.class, self.id, more);
+        let (now, id) = (self.memory.now(), self.id());
+        let taken = self.memory.budget().take(now, self.class, id, more);
         if taken {
             self.bytes += more;
         }
@@ -163,16 +163,21 @@
 
     /// Adds the party that sends the bytes of this share.
     #[must_use]
-    pub fn party(&self) -> Party {
-        self.memory.party_of(self.class, self.id)
+    pub fn party(&mut self) -> Party {
+        let id = self.id();
+        self.memory.party_of(self.class, id)
+    }
+
+    fn id(&mut self) -> Id {
+        let memory = &self.memory;
+        *self.id.get_or_insert_with(|| memory.budget().open())
     }
 
     /// Binds the share to a body: it is given back when the last copy of the body is dropped.
     #[must_use]
     pub fn hold(mut self, body: Vec<u8>) -> Bytes {
-        self.memory
-            .budget()
-            .stop_waiting(self.memory.now(), self.class, self.id);
+        let (now, id) = (self.memory.now(), self.id());
+        self.memory.budget().stop_waiting(now, self.class, id);
         self.shrink(body.capacity() as u64);
         Bytes::from_owner(Held { body, _share: self })
     }
@@ -180,9 +185,12 @@
 
 impl Drop for Share {
     fn drop(&mut self) {
+        let Some(id) = self.id else {
+            return;
+        };
         let now = self.memory.now();
         let mut budget = self.memory.budget();
-        budget.close(now, self.class, self.id, self.bytes);
+        budget.close(now, self.class, id, self.bytes);
         drop(budget);
         self.memory.0.room.notify_waiters();
     }
