Test the settings for memory and descriptors

The fields decide how much callers may hold; a field without a value must not stop a daemon, since the platform states none for some hosts, and a number that leaves nothing for callers must. Ruled out: a default in the template, which the platform replaces.

--- a/crates/operator/tests/findings.rs
+++ b/crates/operator/tests/findings.rs
@@ -139,6 +139,27 @@
     assert_eq!(messages(settings::check(text)), Vec::<String>::new());
 }
 
+/// Guards against a daemon that does not start where the platform states no limits, and against
+/// limits that leave nothing for callers.
+#[rstest]
+#[case("memory_mb:\ndescriptors:\n", Ok((160, 4100)))]
+#[case("memory_mb: 64\ndescriptors: 400\n", Ok((64, 400)))]
+#[case(
+    "memory_mb: 31\n",
+    Err("field `memory_mb` is not a whole number from 32 to 1048576")
+)]
+#[case(
+    "descriptors: 399\n",
+    Err("field `descriptors` is not a whole number from 400 to 1048576")
+)]
+fn limits_of_the_host(#[case] lines: &str, #[case] expected: Result<(u64, u64), &str>) {
+    let example = include_str!("../../../examples/settings.yaml");
+    let checked = settings::check(&format!("{lines}{example}"));
+    let found = checked.map(|found| (found.memory_mb, found.descriptors));
+    let found = found.map_err(|findings| findings[0].message.clone());
+    assert_eq!(found, expected.map_err(str::to_owned));
+}
+
 /// Guards against a text that ends the daemons that read it, by an overflow of the stack.
 #[rstest]
 #[case::sequences("- ".repeat(100_000), "1:65: text is nested deeper than 32")]
