Take in the byte budget and the tests with untrusted clients

One budget of bytes from the memory of the host bounds what callers, targets and other daemons can make a process hold; connections have a budget of descriptors.

--- a/crates/caller/tests/listener/main.rs
+++ b/crates/caller/tests/listener/main.rs
@@ -3,5 +3,6 @@
 mod bytes_cut;
 mod closing;
 mod keys;
+mod memory;
 mod pipelining;
 mod support;
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -13,7 +13,9 @@
 
 use bytes::Bytes;
 use pollenrouter_core::entry::Sent;
+use pollenrouter_core::memory::Class;
 use pollenrouter_core::{call, id, quota};
+use pollenrouter_http::memory::Memory;
 use tokio::sync::Mutex;
 use tokio::{task, time};
 
@@ -66,6 +68,7 @@
     local_ip: net::IpAddr,
     shared_endpoint: quinn::Endpoint,
     peer_states: Rc<RefCell<HashMap<Peer, SharedPeerState>>>,
+    memory: Memory,
     sink: protocol::Sink,
 }
 
@@ -77,6 +80,7 @@
     pub fn new(
         config: quinn::ClientConfig,
         local_ip: net::IpAddr,
+        memory: Memory,
         sink: protocol::Sink,
     ) -> io::Result<Self> {
         Ok(Self {
@@ -84,6 +88,7 @@
             local_ip,
             shared_endpoint: open_endpoint(local_ip)?,
             peer_states: Rc::default(),
+            memory,
             sink,
         })
     }
@@ -228,7 +233,7 @@
             log::debug!(host:% = peer.host; "could not send the message or read its reply: {err}");
         };
         let written = tokio::select! {
-            written = time::timeout(limit, frame::write(&mut tx, head, body)) => match written {
+            written = time::timeout(limit, frame::write(&mut tx, head, body, None)) => match written {
                 Ok(Ok(())) => Ok(()),
                 Ok(Err(err)) => {
                     log_failed(&err);
@@ -247,7 +252,7 @@
             return Err(sent);
         }
         tokio::select! {
-            reply = read_reply(&mut rx) => reply.map_err(|err| {
+            reply = read_reply(&mut rx, &self.memory) => reply.map_err(|err| {
                 log_failed(&err);
                 Sent::Maybe
             }),
@@ -262,7 +267,7 @@
     async fn notify(&self, peer: &Peer, head: &NotificationHead) -> Result<(), ()> {
         let connection = self.connection(peer).await.map_err(drop)?.connection;
         let mut tx = connection.open_uni().await.map_err(drop)?;
-        frame::write(&mut tx, head, &Bytes::new())
+        frame::write(&mut tx, head, &Bytes::new(), None)
             .await
             .map_err(drop)?;
         tokio::select! {
@@ -326,7 +331,7 @@
         };
         let config = self.config.clone();
         let connecting = endpoint.connect_with(config, address, tls::SERVER_NAME)?;
-        time::timeout(CONNECT_TIMEOUT, establish(connecting))
+        time::timeout(CONNECT_TIMEOUT, establish(connecting, &self.memory))
             .await
             .map_err(|_| ConnectError::Timeout(address))?
     }
@@ -337,10 +342,13 @@
 }
 
 /// Completes the handshake and reads the peer's incarnation.
-async fn establish(connecting: quinn::Connecting) -> Result<PeerConnection, ConnectError> {
+async fn establish(
+    connecting: quinn::Connecting,
+    memory: &Memory,
+) -> Result<PeerConnection, ConnectError> {
     let connection = connecting.await?;
     let mut rx = connection.accept_uni().await?;
-    let incarnation = frame::read_head(&mut rx).await?;
+    let incarnation = frame::read_head(&mut rx, memory).await?;
     Ok(PeerConnection {
         connection,
         incarnation,
@@ -355,9 +363,9 @@
     }
 }
 
-async fn read_reply(rx: &mut quinn::RecvStream) -> Result<GateReply, FrameError> {
-    let head: ReplyHead = frame::read_head(rx).await?;
-    let body = frame::read_body(rx, head.body_bytes).await?;
+async fn read_reply(rx: &mut quinn::RecvStream, memory: &Memory) -> Result<GateReply, FrameError> {
+    let head: ReplyHead = frame::read_head(rx, memory).await?;
+    let body = frame::read_body(rx, head.body_bytes, memory.share(Class::Answer)).await?;
     Ok(GateReply {
         reply: head.reply,
         load: head.load,
--- a/crates/daemon/tests/unsent_offers.rs
+++ b/crates/daemon/tests/unsent_offers.rs
@@ -14,6 +14,7 @@
 use pollenrouter_core::id::CallId;
 use pollenrouter_daemon::message::{Command, Event, Peer, Request};
 use pollenrouter_daemon::{protocol, tls};
+use pollenrouter_http::memory::Memory;
 use rstest::rstest;
 use tokio::sync::mpsc as async_mpsc;
 use tokio::{runtime, task};
@@ -39,7 +40,14 @@
     let sink: protocol::Sink = Arc::new(move |event| tx.send(event).is_ok());
     thread::spawn(move || {
         let runtime = runtime::Builder::new_current_thread().enable_all().build();
-        let work = protocol::run(socket, incarnation, transport, rx, sink);
+        let work = protocol::run(
+            socket,
+            incarnation,
+            transport,
+            Memory::unlimited(),
+            rx,
+            sink,
+        );
         let runtime = runtime.expect("runtime must start");
         task::LocalSet::new().block_on(&runtime, work)
     });
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -30,6 +30,15 @@
 const QUOTA_OVERSHOOT: RangeInclusive<f64> = 0.02..=1.0;
 const QUOTA_SLACK_MAX: u64 = 100_000;
 const STOP_TIMEOUT_MAX_MS: u64 = 3_600_000;
+/// Memory of a host that states none, MB: the smallest that deployments state.
+const DEFAULT_MEMORY_MB: u64 = 160;
+/// A daemon without callers takes about 20 MB.
+const MEMORY_MB: RangeInclusive<u64> = 32..=1_048_576;
+/// Descriptors of a host that states none: the smallest number that deployments state.
+const DEFAULT_DESCRIPTORS: u64 = 4100;
+/// With fewer, nothing would be left for callers beside files, the platform, other daemons and
+/// the target.
+const DESCRIPTORS: RangeInclusive<u64> = 400..=1_048_576;
 
 /// Checked settings.
 #[derive(Clone, Debug)]
@@ -61,6 +70,10 @@
     pub evacuations: bool,
     /// How strictly the quotas of organisations are kept.
     pub quota: quota::Settings,
+    /// Memory that the process may take, MB of 2^20 bytes.
+    pub memory_mb: u64,
+    /// Number of descriptors that the process may open.
+    pub descriptors: u64,
     /// Maximum time to wait for calls in flight during a planned stop.
     pub stop_timeout: Duration,
     /// Log level.
@@ -145,6 +158,8 @@
         0..=STOP_TIMEOUT_MAX_MS,
         Some(DEFAULT_STOP_TIMEOUT_MS),
     );
+    let memory = f.integer("memory_mb", MEMORY_MB, Some(DEFAULT_MEMORY_MB));
+    let descriptors = f.integer("descriptors", DESCRIPTORS, Some(DEFAULT_DESCRIPTORS));
     let levels = [
         ("error", log::LevelFilter::Error),
         ("warn", log::LevelFilter::Warn),
@@ -173,6 +188,8 @@
         },
         evacuations: evacuations?,
         quota: quota?,
+        memory_mb: memory?,
+        descriptors: descriptors?,
         stop_timeout: match grace? {
             None => Duration::from_millis(stop?),
             Some(grace) => grace.saturating_sub(GRACE_MARGIN),
