Start calls at cold targets in the first second after a daemon's start

A gate started none, since the earlier incarnation might have started the rate and 4 just before. Half of the rate and 4 calls are left of the bound of 1.5 times the rate and 8, so they may start; after a start of all hosts every target is cold.

--- a/crates/core/src/gate/cold.rs
+++ b/crates/core/src/gate/cold.rs
@@ -79,9 +79,13 @@
         let per_window = WINDOW.as_nanos() / interval.as_nanos().max(1);
         let most = usize::try_from(per_window + WINDOW_EXTRA).unwrap_or(usize::MAX);
         let oldest = self.starts.len().checked_sub(most);
-        let oldest = oldest.and_then(|index| self.starts.get(index));
-        // An earlier incarnation of the daemon may have started calls just before time zero.
-        let window_ends = oldest.copied().unwrap_or_default() + WINDOW;
+        let window_ends = match oldest.and_then(|index| self.starts.get(index)) {
+            Some(oldest) => *oldest + WINDOW,
+            // An earlier incarnation of the daemon may have started as many calls as it could just
+            // before time zero. The rest of the bound is left for the first window.
+            None if self.starts.len() >= rest_of_bound(per_window) => WINDOW,
+            None => Duration::ZERO,
+        };
         window_ends.max(self.next_due.saturating_sub(TOLERANCE))
     }
 
@@ -96,6 +100,11 @@
     }
 }
 
+/// Calls that a target bears in [`WINDOW`] beyond the most that a gate starts in it.
+fn rest_of_bound(per_window: u128) -> usize {
+    usize::try_from(per_window / 2 + WINDOW_EXTRA).unwrap_or(usize::MAX)
+}
+
 impl Gate {
     /// What the current target bears while it is cold, if the configuration states it.
     fn cold_start(&self) -> Option<ColdStart> {
