--- a/crates/core/src/quota/holder.rs
+++ b/crates/core/src/quota/holder.rs
@@ -12,6 +12,9 @@
 /// Time without a message of any other daemon after which a holder grants nothing. Others report a
 /// host that does not reply as gone after 30 s, and replace it as a holder.
 pub const LEASE: Duration = Duration::from_secs(20);
+/// Time after a daemon has learned the members for the first time in which changes of them do not
+/// make it a new holder: after a start of all, members register one after the other.
+const STARTUP: Duration = Duration::from_secs(3);
 /// Interval at which unused buckets are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -41,6 +44,8 @@
     share: Share,
     /// Since when this host has been a holder.
     since: Duration,
+    /// When it begins to grant.
+    starts_at: Duration,
     /// Generation of the view that `since` was determined with.
     generation: u64,
     asked_at: Duration,
@@ -54,6 +59,8 @@
     view: View,
     held: BTreeMap<id::OrganisationName, Held>,
     latest_stamp: u64,
+    /// When the members became known for the first time.
+    members_known_at: Duration,
     /// When another daemon was last heard, or the members became known.
     heard_at: Duration,
     /// When another daemon was heard again after a longer time than [`LEASE`].
@@ -72,6 +79,7 @@
             view: View::default(),
             held: BTreeMap::new(),
             latest_stamp: seed / 2,
+            members_known_at: Duration::ZERO,
             heard_at: Duration::ZERO,
             back_in_touch_at: Duration::ZERO,
             swept_at: Duration::ZERO,
@@ -95,6 +103,7 @@
             Input::Members(hosts) => {
                 if self.view.generation() == 0 {
                     self.heard_at = now;
+                    self.members_known_at = now;
                 }
                 self.view.replace(now, hosts);
             }
@@ -193,6 +202,7 @@
                 return Err(HOLD_OFF);
             };
             let since = since.max(self.back_in_touch_at);
+            let starts_at = self.starts_at(since);
             let holders = self.view.holders(organisation, count).len();
             let share = Share {
                 quota,
@@ -205,9 +215,10 @@
             let held = Held {
                 bucket: kept
                     .as_ref()
-                    .map_or_else(|| Bucket::new(since + HOLD_OFF), |held| held.bucket.clone()),
+                    .map_or_else(|| Bucket::new(starts_at), |held| held.bucket.clone()),
                 share,
-                since: kept.map_or(since, |held| held.since),
+                since: kept.as_ref().map_or(since, |held| held.since),
+                starts_at: kept.map_or(starts_at, |held| held.starts_at),
                 generation,
                 asked_at: now,
             };
@@ -217,13 +228,22 @@
             return Err(HOLD_OFF);
         };
         held.share.quota = quota;
-        let starts_at = held.since + HOLD_OFF;
-        if now < starts_at {
-            return Err(starts_at.saturating_sub(now));
+        if now < held.starts_at {
+            return Err(held.starts_at.saturating_sub(now));
         }
         Ok(held)
     }
 
+    /// When a host that has been a holder since a time begins to grant. A daemon that has just
+    /// started waits only until the tokens of its earlier incarnation have expired.
+    fn starts_at(&self, since: Duration) -> Duration {
+        if since <= self.members_known_at + STARTUP && self.back_in_touch_at.is_zero() {
+            self.members_known_at + self.settings.lifetime()
+        } else {
+            since + HOLD_OFF
+        }
+    }
+
     /// Drops full buckets, which are the same when they are created again.
     fn sweep(&mut self, now: Duration) {
         if now < self.swept_at + SWEEP_INTERVAL {
