--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -3,7 +3,7 @@
 //! A few daemons of each failure domain, the watchers, watch the platform;
 //! [`crate::watching`] decides which. Each daemon has
 //! a few stable peers on the hash ring of its failure domain. It forwards updates to all of
-//! them immediately; a digest that it sends to one of them each round repairs lost
+//! them, those that come soon after others together; a digest that it sends to one of them each round repairs lost
 //! messages. Only watchers communicate with other failure domains, and only with the
 //! watchers there. Each daemon checks its successor on the ring, and reports it as gone if it
 //! stays unreachable.
@@ -11,6 +11,7 @@
 mod heartbeats;
 mod message;
 mod outbox;
+mod topology;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,8 +20,7 @@
 
 use crate::id;
 use crate::replica::{Key, Object, Replica};
-use crate::ring;
-use crate::watching::{Duty, WATCHERS_PER_DOMAIN, Waits};
+use crate::watching::{Duty, Waits};
 
 /// Interval between gossip rounds.
 pub const ROUND_INTERVAL: Duration = Duration::from_secs(1);
@@ -343,37 +343,6 @@
         }
     }
 
-    fn set_members(&mut self, members: Vec<Member>) {
-        self.members = members
-            .into_iter()
-            .map(|member| (member.host.clone(), member))
-            .collect();
-        let known = &self.members;
-        self.missed_rounds
-            .retain(|host, _| known.contains_key(host));
-        let domain = ring::first(self.domain_hosts(), self.members.len());
-        self.peers = if domain.len() <= SMALL_DOMAIN {
-            ring::successors(&self.own.host, &domain)
-        } else {
-            ring::peers_at_doubling_distances(&self.own.host, domain.iter())
-        };
-        self.successor = self.peers.first().cloned();
-        self.duty.set_domain(&self.own.host, domain);
-        let mut domains: BTreeMap<&id::DomainName, Vec<&id::HostName>> = BTreeMap::new();
-        for member in self.members.values() {
-            let hosts = domains.entry(&member.failure_domain).or_default();
-            hosts.push(&member.host);
-        }
-        let watchers = domains.into_iter().map(|(domain, hosts)| {
-            let watchers = ring::first(hosts.into_iter(), WATCHERS_PER_DOMAIN);
-            (domain.clone(), watchers)
-        });
-        let mut watchers: BTreeMap<id::DomainName, Vec<id::HostName>> = watchers.collect();
-        self.watch_waits = watch_waits(&self.own.host, watchers.values());
-        watchers.remove(&self.own.failure_domain);
-        self.remote_watchers = watchers.into_values().collect();
-    }
-
     fn digest_message(&self) -> Message {
         Message {
             digest: Some(self.replica.digest()),
@@ -401,19 +370,6 @@
     }
 }
 
-/// Waits of a host's watches, by its position among the watchers of all domains.
-fn watch_waits<'a>(
-    host: &id::HostName,
-    domains: impl Iterator<Item = &'a Vec<id::HostName>>,
-) -> Waits {
-    let watchers = domains.flat_map(|watchers| watchers.iter().enumerate());
-    // The watchers of one domain are far apart, as they may be lost together.
-    let mut watchers: Vec<(usize, &id::HostName)> = watchers.collect();
-    watchers.sort();
-    let position = watchers.iter().position(|(_, watcher)| *watcher == host);
-    Waits::new(position.unwrap_or(0), watchers.len())
-}
-
 fn pick(hosts: &[id::HostName], draw: u64) -> Option<id::HostName> {
     let n = u64::try_from(hosts.len()).ok().filter(|n| *n > 0)?;
     let index = usize::try_from(draw % n).ok()?;
--- a/crates/core/src/quota/demand.rs
+++ b/crates/core/src/quota/demand.rs
@@ -17,8 +17,8 @@
 
 /// Time for which a holder that has had no tokens several times is not asked. Without it each
 /// entry would ask the holders of a busy organisation every few milliseconds: 20 messages a call
-/// in a trial with 59 hosts, a quota of 267 calls a second and four times as many calls; with it,
-/// less than one.
+/// with 59 hosts, a quota of 267 calls a second and four times as many calls; with it, less than
+/// one.
 const EMPTY_WAIT: Duration = Duration::from_millis(125);
 /// Short grants before a holder is left alone for [`EMPTY_WAIT`], and before each doubling of it:
 /// a few occur also in a load below the limit.
