--- a/crates/caller/src/decoder.rs
+++ b/crates/caller/src/decoder.rs
@@ -187,7 +187,7 @@
         let total = total.max(needed);
         if total > SMALL_MAX_BYTES {
             let (share, _) = self.share.get_or_insert_with(|| {
-                let mut share = self.memory.share(Class::Request);
+                let share = self.memory.share(Class::Request);
                 let party = share.party();
                 (share, party)
             });
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -59,13 +59,14 @@
         self.budget().report()
     }
 
-    /// A share without bytes. It costs the budget nothing until it grows.
+    /// Opens a share without bytes.
     #[must_use]
     pub fn share(&self, class: Class) -> Share {
+        let id = self.budget().open();
         Share {
             memory: self.clone(),
             class,
-            id: None,
+            id,
             bytes: 0,
         }
     }
@@ -105,8 +106,7 @@
 pub struct Share {
     memory: Memory,
     class: Class,
-    /// `None` until it is used.
-    id: Option<Id>,
+    id: Id,
     bytes: u64,
 }
 
@@ -130,8 +130,8 @@
         if more == 0 {
             return true;
         }
-        let (now, id) = (self.memory.now(), self.id());
-        let taken = self.memory.budget().take(now, self.class, id, more);
+        let now = self.memory.now();
+        let taken = self.memory.budget().take(now, self.class, self.id, more);
         if taken {
             self.bytes += more;
         }
@@ -163,21 +163,16 @@
 
     /// Adds the party that sends the bytes of this share.
     #[must_use]
-    pub fn party(&mut self) -> Party {
-        let id = self.id();
-        self.memory.party_of(self.class, id)
-    }
-
-    fn id(&mut self) -> Id {
-        let memory = &self.memory;
-        *self.id.get_or_insert_with(|| memory.budget().open())
+    pub fn party(&self) -> Party {
+        self.memory.party_of(self.class, self.id)
     }
 
     /// Binds the share to a body: it is given back when the last copy of the body is dropped.
     #[must_use]
     pub fn hold(mut self, body: Vec<u8>) -> Bytes {
-        let (now, id) = (self.memory.now(), self.id());
-        self.memory.budget().stop_waiting(now, self.class, id);
+        self.memory
+            .budget()
+            .stop_waiting(self.memory.now(), self.class, self.id);
         self.shrink(body.capacity() as u64);
         Bytes::from_owner(Held { body, _share: self })
     }
@@ -185,12 +180,9 @@
 
 impl Drop for Share {
     fn drop(&mut self) {
-        let Some(id) = self.id else {
-            return;
-        };
         let now = self.memory.now();
         let mut budget = self.memory.budget();
-        budget.close(now, self.class, id, self.bytes);
+        budget.close(now, self.class, self.id, self.bytes);
         drop(budget);
         self.memory.0.room.notify_waiters();
     }
