--- a/crates/operator/tests/quota.rs
+++ b/crates/operator/tests/quota.rs
@@ -28,6 +28,8 @@
         ("listen.ready", "127.0.0.1:5"),
         ("internalPorts.0", "6"),
         ("ip", "127.0.0.1"),
+        ("limits.memoryMb", "160"),
+        ("limits.maxFds", "4100"),
     ];
     let render =
         |text: String, (name, value): (&str, &str)| text.replace(&format!("{{{{{name}}}}}"), value);
