Show how late a table is, and what daemons send each other for it

The logs could not tell whether a host that answers 404 has heard of a newer table, nor how many bytes of objects daemons receive in vain. A rejected request now names the newest table that the daemon has heard of, "table in force" how long a newer one had been announced, and a counter tells new values from those that were already known.

Nothing decides by it yet.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -53,11 +53,12 @@
 pub enum LookupResult {
     /// The route that matches.
     Route(Box<RouteMatch>),
-    /// No route of the table with this version matches.
-    NoRoute(id::Version),
-    /// The route needs a key, and no organisation of the table with this version holds the one
-    /// that the request carries.
-    UnknownKey(id::Version),
+    /// No route of the table with this version matches; with the newest version that this daemon
+    /// has heard of.
+    NoRoute(id::Version, id::Version),
+    /// The route needs a key, and no organisation of the table with the first version holds the
+    /// one that the request carries; versions as for `NoRoute`.
+    UnknownKey(id::Version, id::Version),
     /// The daemon has not loaded a routing table yet.
     NotReady,
 }
@@ -145,16 +146,20 @@
             return Admission::Respond(rejected);
         }
     };
-    let refused = |refusal, table| {
+    let refused = |refusal, tables| {
         let refused = response::refused(&cx.convention, refusal, None, false);
         let refused = response::rejected(refused, parsed.ticket.as_ref());
-        log_rejected(&subject(cx, head), table, &refused, &refusal);
+        log_rejected(&subject(cx, head), tables, &refused, &refusal);
         Admission::Respond(refused)
     };
     let matched = match (cx.lookup)(&parsed) {
         LookupResult::Route(matched) => matched,
-        LookupResult::NoRoute(table) => return refused(Refusal::NoRoute, Some(table)),
-        LookupResult::UnknownKey(table) => return refused(Refusal::UnknownKey, Some(table)),
+        LookupResult::NoRoute(table, newest) => {
+            return refused(Refusal::NoRoute, Some((table, newest)));
+        }
+        LookupResult::UnknownKey(table, newest) => {
+            return refused(Refusal::UnknownKey, Some((table, newest)));
+        }
         LookupResult::NotReady => return refused(Refusal::NotReady, None),
     };
     let headers = forwarded_headers(cx, audience, &matched, &head.headers);
@@ -215,19 +220,21 @@
     }
 }
 
-/// Logs a response that the listener gives without the router. `table` is the version of the
-/// table that decided.
+/// Logs a response that the listener gives without the router. `tables` are the version of the
+/// table that decided, and the newest one that this daemon has heard of.
 fn log_rejected(
     subject: &Subject,
-    table: Option<id::Version>,
+    tables: Option<(id::Version, id::Version)>,
     response: &Response<Bytes>,
     reason: &dyn fmt::Display,
 ) {
+    let (table, newest_table) = tables.unzip();
     info!(
         request:% = subject.request,
         host:% = subject.host,
         path:% = subject.path,
         table:?,
+        newest_table:?,
         status = response.status().as_u16();
         "request rejected: {reason}"
     );
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -100,11 +100,11 @@
     );
     let repeatable = req.path.starts_with("/read");
     if !repeatable && !needs_key && !is_open && !req.path.starts_with("/write") {
-        return LookupResult::NoRoute(1);
+        return LookupResult::NoRoute(1, 1);
     }
     let has_key = req.key == Some(KeyDigest::of(KEY.as_bytes()));
     if needs_key && !has_key {
-        return LookupResult::UnknownKey(1);
+        return LookupResult::UnknownKey(1, 1);
     }
     LookupResult::Route(Box::new(RouteMatch {
         route: table::Route {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -8,6 +8,7 @@
 //! watchers there. Each daemon checks its successor on the ring, and reports it as gone if it
 //! stays unreachable.
 
+mod announcements;
 mod heartbeats;
 mod message;
 mod outbox;
@@ -16,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+pub use announcements::Received;
 pub use message::Message;
 
 use crate::id;
@@ -104,6 +106,7 @@
     /// How long its watches wait.
     watch_waits: Waits,
     outbox: outbox::Outbox,
+    announcements: announcements::Announcements,
 }
 
 impl Membership {
@@ -121,6 +124,7 @@
             duty: Duty::default(),
             watch_waits: Waits::ALONE,
             outbox: outbox::Outbox::default(),
+            announcements: announcements::Announcements::default(),
         }
     }
 
@@ -158,6 +162,18 @@
         &self.replica
     }
 
+    /// The newest version of an object under a prefix that another daemon has announced and that
+    /// this daemon lacks.
+    #[must_use]
+    pub fn announced(&self, prefix: &str) -> Option<id::Version> {
+        self.announcements.newest(prefix)
+    }
+
+    /// Takes the sizes of the values that other daemons have sent since the latest call.
+    pub fn take_received(&mut self) -> Received {
+        self.announcements.take_received()
+    }
+
     /// Whether this daemon is a watcher: it forwards updates to other failure domains.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
@@ -197,7 +213,7 @@
     fn merge(&mut self, objects: Vec<Object>, draw: u64, out: &mut Vec<Output>) {
         let updated: Vec<Object> = objects
             .into_iter()
-            .filter(|object| self.replica.merge(object))
+            .filter(|object| self.merge_one(object))
             .collect();
         out.extend(updated.iter().cloned().map(Output::Changed));
         if let Some(due) = self.outbox.push_updates(updated) {
@@ -205,6 +221,14 @@
         }
     }
 
+    fn merge_one(&mut self, object: &Object) -> bool {
+        let is_new = self.replica.merge(object);
+        if is_new {
+            self.announcements.on_held(object);
+        }
+        is_new
+    }
+
     /// Sends what has waited since the last flush.
     fn flush(&mut self, draw: u64, out: &mut Vec<Output>) {
         let (updates, request) = self.outbox.flush();
@@ -294,7 +318,14 @@
             self.record_heartbeat(host, receives_updates, out);
             return;
         }
+        for object in &message.objects {
+            let held = self.replica.get(&object.key);
+            let is_new = held.is_none_or(|held| held.version < object.version);
+            self.announcements.count(object.value.len(), is_new);
+        }
         self.merge(message.objects, draw, out);
+        let announced = message.versions.iter().flatten();
+        self.announcements.record(announced, &self.replica);
         if message.digest.is_none()
             && let Some(announced) = message.versions
         {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -39,6 +39,8 @@
     pub is_confirmed: bool,
     /// The active routing table.
     pub table: Option<Arc<table::Table>>,
+    /// Newest version of a table that another daemon has announced, if it is newer than `table`.
+    pub announced_table: id::Version,
     /// Whether a planned stop has begun.
     pub is_stopping: bool,
 }
@@ -332,6 +334,7 @@
         if is_member_changed {
             self.update_members(&mut effects);
         }
+        self.record_announced_table();
         self.shared.watch_duty.set(self.membership.watch_waits());
         effects
     }
--- a/crates/router/src/fleet/activation.rs
+++ b/crates/router/src/fleet/activation.rs
@@ -2,6 +2,7 @@
 
 use log::{info, warn};
 use pollenrouter_core::{active_table, documents, replica, table};
+use pollenrouter_platform::object;
 
 use super::{Effect, Fleet};
 use crate::platform_io::Write;
@@ -60,12 +61,22 @@
         }
     }
 
+    /// Tells the listeners which version of the table other daemons have announced.
+    pub(super) fn record_announced_table(&mut self) {
+        let announced = self.membership.announced(object::TABLES);
+        if self.staleness.on_announced(announced) {
+            let announced = announced.unwrap_or_default();
+            self.shared
+                .update(|state| state.announced_table = announced);
+        }
+    }
+
     pub(super) fn activate_table(&mut self, table: table::Table, effects: &mut Vec<Effect>) {
         let Some(active_table::Change { from, to }) = self.active_table.apply(table) else {
             return;
         };
-        info!(from, to; "table in force");
-        self.staleness.on_activated();
+        let announced_ms = self.staleness.on_activated();
+        info!(from, to, announced_ms; "table in force");
         let Some(table) = self.active_table.get().cloned() else {
             return;
         };
--- a/crates/router/src/fleet/staleness.rs
+++ b/crates/router/src/fleet/staleness.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pollenrouter_core::{id, watching};
+use pollenrouter_core::{id, membership, watching};
 use pollenrouter_http::clock;
 use serde::Serialize;
 
@@ -14,6 +14,10 @@
 pub(super) struct Staleness {
     /// When the active table became active; `None` without one.
     activated_at: Option<Duration>,
+    /// The newest version of a table that was announced and is not active yet.
+    announced: Option<id::Version>,
+    /// Since when a newer table than the active one is known to exist.
+    announced_at: Option<Duration>,
     /// Whether the current silence has been logged.
     is_silence_logged: bool,
 }
@@ -23,6 +27,9 @@
 pub struct Report {
     /// Version of the active table; 0 without one.
     pub table: id::Version,
+    /// Newest version of a table that other daemons have announced and that is not active yet; 0
+    /// for none.
+    pub announced_table: id::Version,
     /// Time for which that table has been active, milliseconds.
     pub table_age_ms: u64,
     /// Time for which no update of the platform has been able to reach this daemon, milliseconds.
@@ -32,12 +39,34 @@
 }
 
 impl Staleness {
-    pub(super) fn on_activated(&mut self) {
-        self.activated_at = Some(clock::boot_time());
+    /// Records that a table became active; returns how long a newer table than the one before has
+    /// been known to exist, milliseconds.
+    pub(super) fn on_activated(&mut self) -> u64 {
+        let now = clock::boot_time();
+        self.activated_at = Some(now);
+        let announced_at = self.announced_at.take();
+        to_millis(announced_at.map_or(Duration::ZERO, |at| now.saturating_sub(at)))
+    }
+
+    /// Records the newest version of a table that was announced; returns whether it has changed.
+    pub(super) fn on_announced(&mut self, announced: Option<id::Version>) -> bool {
+        if self.announced == announced {
+            return false;
+        }
+        self.announced = announced;
+        if announced.is_some() {
+            self.announced_at.get_or_insert_with(clock::boot_time);
+        }
+        true
     }
 }
 
 impl Fleet {
+    /// Takes the sizes of the values that other daemons have sent since the latest call.
+    pub fn take_received(&mut self) -> membership::Received {
+        self.membership.take_received()
+    }
+
     /// How old this daemon's knowledge of the platform is.
     #[must_use]
     pub fn staleness(&self) -> Report {
@@ -45,6 +74,7 @@
         let table_age = activated_at.map(|at| clock::boot_time().saturating_sub(at));
         Report {
             table: self.active_table.get().map_or(0, |table| table.version),
+            announced_table: self.staleness.announced.unwrap_or_default(),
             table_age_ms: to_millis(table_age.unwrap_or_default()),
             silent_ms: to_millis(self.membership.silent_for()),
             era: self.era.number(),
@@ -63,6 +93,7 @@
             table_age_ms,
             silent_ms,
             era,
+            announced_table: _,
         } = self.staleness();
         if is_silent {
             warn!(table, table_age_ms, silent_ms, era:?; "no update of the platform can reach this daemon");
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -5,7 +5,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry::{KeyValue, Value};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use pollenrouter_core::hint;
+use pollenrouter_core::{hint, membership};
 use pollenrouter_http::memory::Memory;
 use prometheus::{Encoder, TextEncoder};
 
@@ -30,7 +30,9 @@
     recorded_calls: Gauge<u64>,
     members: Gauge<u64>,
     table_version: Gauge<u64>,
+    announced_table: Gauge<u64>,
     table_age: Gauge<f64>,
+    received_values: Counter<u64>,
     platform_silence: Gauge<f64>,
     evacuated_domains: Gauge<u64>,
     evacuated: Gauge<u64>,
@@ -97,6 +99,10 @@
         recorded_calls: meter.u64_gauge("pollenrouter_gate_remembered").build(),
         members: meter.u64_gauge("pollenrouter_members").build(),
         table_version: meter.u64_gauge("pollenrouter_table_version").build(),
+        announced_table: meter
+            .u64_gauge("pollenrouter_announced_table_version")
+            .build(),
+        received_values: meter.u64_counter("pollenrouter_gossip_value_bytes").build(),
         table_age: meter.f64_gauge("pollenrouter_table_age_seconds").build(),
         platform_silence: meter
             .f64_gauge("pollenrouter_platform_silence_seconds")
@@ -186,11 +192,21 @@
     pub fn record_staleness(&self, report: staleness::Report) {
         let to_seconds = |millis| Duration::from_millis(millis).as_secs_f64();
         self.table_version.record(report.table, &[]);
+        self.announced_table.record(report.announced_table, &[]);
         self.table_age.record(to_seconds(report.table_age_ms), &[]);
         self.platform_silence
             .record(to_seconds(report.silent_ms), &[]);
     }
 
+    /// Adds to the counters of the values that other daemons have sent, bytes.
+    pub fn count_received_values(&self, received: membership::Received) {
+        let counts = [("new", received.new_bytes), ("known", received.known_bytes)];
+        for (outcome, bytes) in counts {
+            self.received_values
+                .add(bytes, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
     /// Sets the gauge for the time for which the target stays cold.
     pub fn record_cold(&self, remaining: Duration) {
         self.target_cold.record(remaining.as_secs_f64(), &[]);
--- a/crates/router/src/router/rounds.rs
+++ b/crates/router/src/router/rounds.rs
@@ -22,6 +22,8 @@
             .record_gauges(&hint, recorded_calls, members);
         let staleness = self.fleet.staleness();
         self.calls.instruments().record_staleness(staleness);
+        let received = self.fleet.take_received();
+        self.calls.instruments().count_received_values(received);
         self.report_cold_target();
         let evacuated_domains = self.fleet.evacuations().iter().count();
         let is_evacuated = self.calls.gate().is_evacuated();
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -18,8 +18,9 @@
     let Some(table) = known.table.as_ref().filter(|_| known.is_confirmed) else {
         return LookupResult::NotReady;
     };
+    let newest = table.version.max(known.announced_table);
     let Some(route) = table.find_route(&req.host, &req.method, req.path_without_query()) else {
-        return LookupResult::NoRoute(table.version);
+        return LookupResult::NoRoute(table.version, newest);
     };
     let organisations = table.organisations.as_ref();
     let organisation = organisations.and_then(|o| o.holder_of(req.key?));
@@ -27,12 +28,12 @@
         let outcome = key_outcome(req, &route.policy, organisation.is_some());
         key_checks.count(outcome);
         if matches!(outcome, KeyOutcome::Unknown | KeyOutcome::Missing) {
-            return LookupResult::UnknownKey(table.version);
+            return LookupResult::UnknownKey(table.version, newest);
         }
     }
     let rank = organisation.and_then(|name| organisations?.get(name)?.rank);
     let Some(service) = route.pick_service(rand::random()) else {
-        return LookupResult::NoRoute(table.version);
+        return LookupResult::NoRoute(table.version, newest);
     };
     let limits = table.services.get(service).map(|service| &service.limits);
     let body_bytes = limits.map_or(u64::MAX, |limits| limits.request_bytes);
