Pass on the encoding in which a value was received

A daemon that had fetched a changed table compressed it again for the next one, on hosts with a tenth of a core. Hosts that lack a version mostly have the same one before it, so the received encoding fits them. It is kept only if its value is the held one. What this saves was not measured.

core/tests/spread passes as before.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -235,14 +235,14 @@
         let (before, after) = peers.split_at(start);
         for (index, host) in after.iter().chain(before).enumerate() {
             let message = if index < FANOUT { &message } else { &notice };
-            send_update(host, message, &large, out);
+            transfers::send_update(host, message, &large, out);
         }
         // Other failure domains receive only versions and request what they lack: their own
         // watchers have read most of it.
         let remote = self.remote_watchers.iter().filter(|_| self.is_watcher());
         let remote = remote.filter_map(|watchers| self.pick_watcher(watchers, draw));
         for host in remote {
-            send_update(&host, &notice, &large, out);
+            transfers::send_update(&host, &notice, &large, out);
         }
     }
 
@@ -380,23 +380,6 @@
     }
 }
 
-/// Sends an update, and the versions of large objects in it.
-fn send_update(
-    host: &id::HostName,
-    message: &Message,
-    large: &BTreeMap<Key, id::Version>,
-    out: &mut Vec<Output>,
-) {
-    let has_versions = message.versions.as_ref().is_some_and(|v| !v.is_empty());
-    if has_versions || !message.objects.is_empty() {
-        out.push(Output::Send(host.clone(), message.clone()));
-    }
-    if !large.is_empty() {
-        let announcement = Transfer::Announce(large.clone());
-        out.push(Output::SendTransfer(host.clone(), announcement));
-    }
-}
-
 fn pick(hosts: &[id::HostName], draw: u64) -> Option<id::HostName> {
     let n = u64::try_from(hosts.len()).ok().filter(|n| *n > 0)?;
     let index = usize::try_from(draw % n).ok()?;
--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -14,7 +14,7 @@
 use downloads::Progress;
 pub(super) use uploads::Uploads;
 
-use super::{Membership, Output};
+use super::{Membership, Message, Output};
 use crate::id;
 use crate::replica::{Key, Object};
 
@@ -88,7 +88,7 @@
 
 /// An encoded value.
 #[derive(Debug, PartialEq, Eq, Hash)]
-struct Encoding {
+pub(super) struct Encoding {
     version: id::Version,
     base: id::Version,
     hash: u64,
@@ -107,6 +107,23 @@
     (large.collect(), others)
 }
 
+/// Sends an update, and the versions of large objects in it.
+pub(super) fn send_update(
+    host: &id::HostName,
+    message: &Message,
+    large: &BTreeMap<Key, id::Version>,
+    out: &mut Vec<Output>,
+) {
+    let has_versions = message.versions.as_ref().is_some_and(|v| !v.is_empty());
+    if has_versions || !message.objects.is_empty() {
+        out.push(Output::Send(host.clone(), message.clone()));
+    }
+    if !large.is_empty() {
+        let announcement = Transfer::Announce(large.clone());
+        out.push(Output::SendTransfer(host.clone(), announcement));
+    }
+}
+
 impl Membership {
     pub(super) fn transfer_received(
         &mut self,
@@ -179,7 +196,13 @@
         match progress {
             Progress::Ignored => {}
             Progress::Continue => self.request_part(&part.key, out),
-            Progress::Complete(object) => self.merge(vec![object], draw, out),
+            Progress::Complete(object, encoding) => {
+                self.merge(vec![object], draw, out);
+                let held = self.replica.get(&part.key);
+                if held.is_some_and(|held| held.version == encoding.version) {
+                    self.uploads.keep(&part.key, encoding);
+                }
+            }
             Progress::Failed(err) => {
                 let reason = err.to_string().into();
                 out.push(Output::TransferFailed(
--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use super::{Fetch, PATIENCE_FLUSHES, Part, RETRY_FLUSHES};
+use super::{Encoding, Fetch, PATIENCE_FLUSHES, Part, RETRY_FLUSHES};
 use crate::delta::{self, DecodeError};
 use crate::id;
 use crate::replica::{Key, Object};
@@ -39,20 +39,20 @@
 
 /// What a part leads to.
 #[derive(Debug)]
-pub(crate) enum Progress {
+pub(in crate::membership) enum Progress {
     /// The part is not the one that is waited for.
     Ignored,
     /// Further parts are missing.
     Continue,
-    /// The object is complete.
-    Complete(Object),
+    /// The object is complete; with its encoding, for others that lack it.
+    Complete(Object, Encoding),
     /// The parts do not make up the value.
     Failed(DecodeError),
 }
 
 /// Values that this daemon fetches from others, and the versions that they are fetched for.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Downloads {
+pub(in crate::membership) struct Downloads {
     downloads: BTreeMap<Key, Download>,
 }
 
@@ -176,11 +176,22 @@
             .ok_or(DecodeError::Mismatch)
             .and_then(|base| delta::decode(base, &received, part.value_bytes, part.value_hash));
         match decoded {
-            Ok(value) => Progress::Complete(Object {
-                key: part.key.clone(),
-                version: part.version,
-                value,
-            }),
+            Ok(value) => {
+                let object = Object {
+                    key: part.key.clone(),
+                    version: part.version,
+                    value,
+                };
+                let encoding = Encoding {
+                    version: part.version,
+                    base: part.base,
+                    hash: part.encoding,
+                    value_bytes: part.value_bytes,
+                    value_hash: part.value_hash,
+                    bytes: received,
+                };
+                Progress::Complete(object, encoding)
+            }
             Err(err) => {
                 download.needs_whole = true;
                 download.sources.rotate_left(1);
--- a/crates/core/src/membership/transfers/uploads.rs
+++ b/crates/core/src/membership/transfers/uploads.rs
@@ -36,7 +36,7 @@
 
 /// What other daemons fetch from this one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Uploads {
+pub(in crate::membership) struct Uploads {
     earlier: BTreeMap<Key, VecDeque<Earlier>>,
     encodings: BTreeMap<Key, Vec<SharedEncoding>>,
     /// By the host that fetches.
@@ -71,6 +71,12 @@
         Some(&earlier.value)
     }
 
+    /// Keeps the encoding in which this daemon received a value.
+    pub fn keep(&mut self, key: &Key, encoding: Encoding) {
+        let encodings = self.encodings.entry(key.clone()).or_default();
+        insert(encodings, Arc::new(encoding));
+    }
+
     /// Replies to a request of a host.
     pub fn reply(&mut self, host: &id::HostName, fetch: &Fetch, replica: &Replica) -> Transfer {
         let is_resumed =
@@ -155,9 +161,14 @@
             value_hash: delta::hash(object.value.as_bytes()),
             bytes,
         });
-        encodings.retain(|known| known.version == object.version);
-        encodings.truncate(ENCODINGS_MAX - 1);
-        encodings.push(encoding.clone());
+        insert(encodings, encoding.clone());
         Some(encoding)
     }
 }
+
+/// Adds an encoding of the newest version; those of other versions are of no use any more.
+fn insert(encodings: &mut Vec<SharedEncoding>, encoding: SharedEncoding) {
+    encodings.retain(|known| known.version == encoding.version && known.base != encoding.base);
+    encodings.truncate(ENCODINGS_MAX - 1);
+    encodings.push(encoding);
+}
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -109,9 +109,8 @@
                 }
                 Command::Heartbeat(peer, gossip) => {
                     // The next one follows soon.
-                    let _ = client
-                        .notify(&peer, &NotificationHead::Gossip(gossip))
-                        .await;
+                    let head = NotificationHead::Gossip(gossip);
+                    let _ = client.notify(&peer, &head).await;
                 }
                 Command::Probe(peer) => {
                     if client.notify(&peer, &NotificationHead::Probe).await.is_ok() {
