Go on with an upload after the same host has fetched another value

Callers see old routes for ever on hosts that lack two large values at the same time, as after a restart: neither arrives.

Cause: a daemon remembers one upload for each host. A request for the second part of one value, after the first part of another one, counted as new and was answered with the first part again, which the requester ignored. Both transfers then waited for 500 ms, began again at the same time and failed in the same way.

Evidence: tests/transfers two_values_are_fetched_from_one_host_at_the_same_time (neither value after 375 ms, both now), and the random faults, which shrank to two published values and no fault of a message (4 of 6 hosts without after 16 s).

Now a request that names the encoding that is served anyway is answered from its offset. A request that names an older encoding is still answered from the beginning of the newest one, as no part of it is of use.

--- a/crates/core/src/membership/transfers/uploads.rs
+++ b/crates/core/src/membership/transfers/uploads.rs
@@ -93,11 +93,13 @@
         let Some(encoding) = self.encoding(object, fetch) else {
             return unavailable(false);
         };
-        let restart = Fetch {
-            offset: 0,
+        // An upload that has made room for that of another key goes on where it was.
+        let is_known = encoding.hash == fetch.encoding;
+        let next = Fetch {
+            offset: if is_known { fetch.offset } else { 0 },
             ..fetch.clone()
         };
-        self.part(host, &encoding, &restart)
+        self.part(host, &encoding, &next)
     }
 
     /// Forgets the uploads of hosts that have stopped asking.
