Pause once all hosts that have a large value were asked in vain

A host that cannot get a table from any of several others sends each of them requests as fast as they are refused, and takes processor time and room on links from the requests of callers, just when hosts are busy or a domain is cut off. A value that never matches its hash is fetched again and again as well.

Cause: the pause of 100 ms was made only if a single host was known. With two or more, a refusal, a failed delivery or a mismatch led to the next request at once; after a mismatch there was no pause at all.

Now each request in vain is counted, and after as many as there are hosts the next one waits for 100 ms. A held version resets the count. After a mismatch the host that sent the value is moved to the end, not the first one, which may be another. A host that no longer has a value is forgotten and is no failure.

--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -27,7 +27,7 @@
 const UPLOADS_MAX: usize = 8;
 /// Flush intervals without a part after which another host is asked, 500 ms.
 const PATIENCE_FLUSHES: u32 = 20;
-/// Flush intervals until the only host that has a value is asked again, 100 ms.
+/// Flush intervals until hosts that have a value are asked again after all were asked in vain, 100 ms.
 const RETRY_FLUSHES: u32 = 4;
 
 /// A message about a large value.
--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -31,7 +31,9 @@
     /// Hosts that have announced a version, the next one to ask first.
     sources: VecDeque<(id::HostName, id::Version)>,
     request: Option<Request>,
-    /// Flush intervals until the next request, if no other host can be asked.
+    /// Requests in vain since the latest pause.
+    failures: usize,
+    /// Flush intervals until the next request.
     pause: u32,
     /// Whether a change of the held version did not lead to the value, so that the whole is fetched.
     needs_whole: bool,
@@ -59,14 +61,21 @@
 impl Download {
     /// Gives up the request to a host; the others are asked first.
     fn give_up(&mut self, host: &id::HostName) {
-        let Some(request) = self.request.take_if(|request| request.host == *host) else {
-            return;
-        };
-        let position = self.sources.iter().position(|(h, _)| *h == request.host);
+        if self.request.take_if(|r| r.host == *host).is_some() {
+            self.count_failure(host);
+        }
+    }
+
+    /// Records that a host was asked in vain. Once all have been, the next request waits: hosts
+    /// that are busy or out of reach would otherwise be asked as fast as they answer.
+    fn count_failure(&mut self, host: &id::HostName) {
+        let position = self.sources.iter().position(|(h, _)| h == host);
         if let Some(source) = position.and_then(|position| self.sources.remove(position)) {
             self.sources.push_back(source);
         }
-        if self.sources.len() <= 1 {
+        self.failures += 1;
+        if self.failures >= self.sources.len() {
+            self.failures = 0;
             self.pause = RETRY_FLUSHES;
         }
     }
@@ -90,6 +99,7 @@
         };
         download.sources.retain(|(_, version)| *version > held);
         download.needs_whole = false;
+        download.failures = 0;
         download.pause = 0;
         if download.newest <= held {
             self.downloads.remove(key);
@@ -183,7 +193,7 @@
             }),
             Err(err) => {
                 download.needs_whole = true;
-                download.sources.rotate_left(1);
+                download.count_failure(host);
                 Progress::Failed(err)
             }
         }
@@ -192,8 +202,10 @@
     /// A host does not have the value, or serves too many others.
     pub fn unavailable(&mut self, host: &id::HostName, key: &Key, is_busy: bool) {
         if let Some(download) = self.downloads.get_mut(key) {
-            download.give_up(host);
-            if !is_busy {
+            if is_busy {
+                download.give_up(host);
+            } else {
+                download.request.take_if(|request| request.host == *host);
                 download.sources.retain(|(source, _)| source != host);
             }
         }
