Name the held version when the whole of a large value is requested

A host may fetch an old table whole, time after time without a pause, and gets no newer one from the host that sends it.

Cause: to get the whole value after a change had not led to it, a host stated that it had no version at all. A host that had announced a newer version and had restarted since then sent its older one, which was not merged, and so was requested again at once.

Now the request states the held version, and 0 in place of the hash of its value, so that no change of it is sent.

--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -55,7 +55,7 @@
     pub key: Key,
     /// Version that the requester has, 0 for none.
     pub held: id::Version,
-    /// Hash of that version's value.
+    /// Hash of that version's value, 0 to get the whole new value.
     pub held_hash: u64,
     /// The encoding that the requester has a part of; 0 for none.
     pub encoding: u64,
--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -15,6 +15,7 @@
     host: id::HostName,
     /// Version that this daemon has, 0 for none.
     held: id::Version,
+    /// Hash of its value, 0 to get the whole new one.
     held_hash: u64,
     /// Hash of the encoding that `received` is the beginning of; 0 before the first part.
     encoding: u64,
@@ -126,11 +127,11 @@
         let download = self.downloads.get_mut(key)?;
         if download.request.is_none() {
             let (host, _) = download.sources.front()?;
-            let held = held.filter(|_| !download.needs_whole);
+            let base = held.filter(|_| !download.needs_whole);
             download.request = Some(Request {
                 host: host.clone(),
                 held: held.map_or(0, |(version, _)| version),
-                held_hash: held.map_or(0, |(_, value)| delta::hash(value.as_bytes())),
+                held_hash: base.map_or(0, |(_, value)| delta::hash(value.as_bytes())),
                 encoding: 0,
                 received: Vec::new(),
                 waiting: 0,
