Ask the host first that has announced the newest version of a large value

A host that was out of reach while tables changed fetches old ones before the newest: each of them takes effect and is replaced at once, and callers wait that much longer for the newest.

Cause: hosts were asked in the order of their first announcements.

Evidence: tests/transfers a_host_that_missed_many_versions_fetches_the_newest: versions 2, 3 and 9 are announced by three hosts; all three were fetched, now 2, the request for which was under way, and 9.

Now a host that announces a version above all known ones is asked next. If it does not answer, it is moved to the end as before, and the others are asked.

tests/spread: same delays and bytes as before.

--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -86,8 +86,15 @@
     /// Records that a host has a version that this daemon lacks.
     pub fn announced(&mut self, host: &id::HostName, key: Key, version: id::Version) {
         let download = self.downloads.entry(key).or_default();
-        download.newest = download.newest.max(version);
-        match download.sources.iter_mut().find(|(h, _)| h == host) {
+        let position = download.sources.iter().position(|(h, _)| h == host);
+        if version > download.newest {
+            // Asked first, so that no version is fetched that is replaced by the next one.
+            download.newest = version;
+            position.and_then(|position| download.sources.remove(position));
+            download.sources.push_front((host.clone(), version));
+            return;
+        }
+        match position.and_then(|position| download.sources.get_mut(position)) {
             Some((_, known)) => *known = version.max(*known),
             None => download.sources.push_back((host.clone(), version)),
         }
