--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -27,7 +27,7 @@
 const UPLOADS_MAX: usize = 8;
 /// Flush intervals without a part after which another host is asked, 500 ms.
 const PATIENCE_FLUSHES: u32 = 20;
-/// Flush intervals until the only host that has a value is asked again, 100 ms.
+/// Flush intervals until hosts that have a value are asked again after all were asked in vain, 100 ms.
 const RETRY_FLUSHES: u32 = 4;
 
 /// A message about a large value.
@@ -55,7 +55,7 @@
     pub key: Key,
     /// Version that the requester has, 0 for none.
     pub held: id::Version,
-    /// Hash of that version's value.
+    /// Hash of that version's value, 0 to get the whole new value.
     pub held_hash: u64,
     /// The encoding that the requester has a part of; 0 for none.
     pub encoding: u64,
--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -15,6 +15,7 @@
     host: id::HostName,
     /// Version that this daemon has, 0 for none.
     held: id::Version,
+    /// Hash of its value, 0 to get the whole new one.
     held_hash: u64,
     /// Hash of the encoding that `received` is the beginning of; 0 before the first part.
     encoding: u64,
@@ -31,7 +32,9 @@
     /// Hosts that have announced a version, the next one to ask first.
     sources: VecDeque<(id::HostName, id::Version)>,
     request: Option<Request>,
-    /// Flush intervals until the next request, if no other host can be asked.
+    /// Requests in vain since the latest pause.
+    failures: usize,
+    /// Flush intervals until the next request.
     pause: u32,
     /// Whether a change of the held version did not lead to the value, so that the whole is fetched.
     needs_whole: bool,
@@ -59,14 +62,21 @@
 impl Download {
     /// Gives up the request to a host; the others are asked first.
     fn give_up(&mut self, host: &id::HostName) {
-        let Some(request) = self.request.take_if(|request| request.host == *host) else {
-            return;
-        };
-        let position = self.sources.iter().position(|(h, _)| *h == request.host);
+        if self.request.take_if(|r| r.host == *host).is_some() {
+            self.count_failure(host);
+        }
+    }
+
+    /// Records that a host was asked in vain. Once all have been, the next request waits: hosts
+    /// that are busy or out of reach would otherwise be asked as fast as they answer.
+    fn count_failure(&mut self, host: &id::HostName) {
+        let position = self.sources.iter().position(|(h, _)| h == host);
         if let Some(source) = position.and_then(|position| self.sources.remove(position)) {
             self.sources.push_back(source);
         }
-        if self.sources.len() <= 1 {
+        self.failures += 1;
+        if self.failures >= self.sources.len() {
+            self.failures = 0;
             self.pause = RETRY_FLUSHES;
         }
     }
@@ -76,8 +86,15 @@
     /// Records that a host has a version that this daemon lacks.
     pub fn announced(&mut self, host: &id::HostName, key: Key, version: id::Version) {
         let download = self.downloads.entry(key).or_default();
-        download.newest = download.newest.max(version);
-        match download.sources.iter_mut().find(|(h, _)| h == host) {
+        let position = download.sources.iter().position(|(h, _)| h == host);
+        if version > download.newest {
+            // Asked first, so that no version is fetched that is replaced by the next one.
+            download.newest = version;
+            position.and_then(|position| download.sources.remove(position));
+            download.sources.push_front((host.clone(), version));
+            return;
+        }
+        match position.and_then(|position| download.sources.get_mut(position)) {
             Some((_, known)) => *known = version.max(*known),
             None => download.sources.push_back((host.clone(), version)),
         }
@@ -90,6 +107,7 @@
         };
         download.sources.retain(|(_, version)| *version > held);
         download.needs_whole = false;
+        download.failures = 0;
         download.pause = 0;
         if download.newest <= held {
             self.downloads.remove(key);
@@ -116,11 +134,11 @@
         let download = self.downloads.get_mut(key)?;
         if download.request.is_none() {
             let (host, _) = download.sources.front()?;
-            let held = held.filter(|_| !download.needs_whole);
+            let base = held.filter(|_| !download.needs_whole);
             download.request = Some(Request {
                 host: host.clone(),
                 held: held.map_or(0, |(version, _)| version),
-                held_hash: held.map_or(0, |(_, value)| delta::hash(value.as_bytes())),
+                held_hash: base.map_or(0, |(_, value)| delta::hash(value.as_bytes())),
                 encoding: 0,
                 received: Vec::new(),
                 waiting: 0,
@@ -194,7 +212,7 @@
             }
             Err(err) => {
                 download.needs_whole = true;
-                download.sources.rotate_left(1);
+                download.count_failure(host);
                 Progress::Failed(err)
             }
         }
@@ -203,8 +221,10 @@
     /// A host does not have the value, or serves too many others.
     pub fn unavailable(&mut self, host: &id::HostName, key: &Key, is_busy: bool) {
         if let Some(download) = self.downloads.get_mut(key) {
-            download.give_up(host);
-            if !is_busy {
+            if is_busy {
+                download.give_up(host);
+            } else {
+                download.request.take_if(|request| request.host == *host);
                 download.sources.retain(|(source, _)| source != host);
             }
         }
