Request missing objects from each host once a round at a start

A daemon that starts and cannot complete its start, as while the platform's writes are lost, made its peers and itself busy: memory and processor time of callers' requests went to messages between daemons.

Cause: until its start was complete a daemon requested missing objects from three others on each message that it received. Each request brings a reply, and each reply brought three more requests.

core/tests/membership.rs failed first: 300 requests for 100 messages in one round, now none after the first three. What a message lost at the start costs is one round; a host that could not be reached may be asked again at once.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -16,7 +16,7 @@
 mod topology;
 mod transfers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 pub use announcements::Received;
@@ -63,6 +63,8 @@
     /// How long its watches wait.
     watch_waits: Waits,
     outbox: outbox::Outbox,
+    /// Hosts that were asked for all missing objects in this round.
+    asked: BTreeSet<id::HostName>,
     announcements: announcements::Announcements,
     downloads: transfers::Downloads,
     uploads: transfers::Uploads,
@@ -83,6 +85,7 @@
             duty: Duty::default(),
             watch_waits: Waits::ALONE,
             outbox: outbox::Outbox::default(),
+            asked: BTreeSet::new(),
             announcements: announcements::Announcements::default(),
             downloads: transfers::Downloads::default(),
             uploads: transfers::Uploads::default(),
@@ -278,11 +281,16 @@
         }
     }
 
-    /// Requests missing objects from a few daemons, those of the own failure domain first.
-    fn sync(&self, out: &mut Vec<Output>) {
+    /// Requests missing objects from a few daemons, those of the own failure domain first, and from
+    /// each once a round: each reply to a starting daemon leads here.
+    fn sync(&mut self, out: &mut Vec<Output>) {
         let remote = self.remote_watchers.iter().flatten();
         let hosts = self.peers.iter().chain(remote).take(SYNC_FANOUT);
-        out.extend(hosts.map(|host| Output::Send(host.clone(), self.sync_request())));
+        for host in hosts {
+            if self.asked.insert(host.clone()) {
+                out.push(Output::Send(host.clone(), self.sync_request()));
+            }
+        }
     }
 
     fn received(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
@@ -334,6 +342,7 @@
     }
 
     fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
+        self.asked.remove(host);
         self.downloads.unreachable(host);
         self.request_parts(out);
         // The peers that pass updates on to this daemon may be out of its reach as well, while a
@@ -361,6 +370,7 @@
     }
 
     fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
+        self.asked.clear();
         let message = self.digest_message();
         let mut recipients: Vec<id::HostName> = self.successor.iter().cloned().collect();
         recipients.extend(pick(&self.peers, draw));
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -264,3 +264,18 @@
     }
     assert_eq!(reports, 1);
 }
+
+/// Guards against a starting daemon that sends a request for each message it receives, each of
+/// which brings further messages.
+#[test]
+fn a_starting_daemon_requests_missing_objects_from_each_host_once_a_round() {
+    let mut fleet = fleet(&SMALL);
+    let starting = fleet.daemons.get_mut(&host(0)).expect("daemon must exist");
+    let requests = |outputs: Vec<Output>| outputs.len();
+    let first = requests(starting.step(Input::Sync));
+    assert!(first > 0, "the first request must be sent");
+    let repeated: usize = (0..100).map(|_| requests(starting.step(Input::Sync))).sum();
+    assert_eq!(repeated, 0, "requests in the same round");
+    starting.step(Input::Round(0));
+    assert_eq!(requests(starting.step(Input::Sync)), first, "next round");
+}
