--- a/crates/core/tests/transfers/network.rs
+++ b/crates/core/tests/transfers/network.rs
@@ -162,6 +162,21 @@
         version
     }
 
+    /// Writes the text of an earlier version as the next one, which one host reads.
+    pub fn publish_again(&mut self, host: &HostName, earlier: &Object) -> Version {
+        let key = earlier.key.clone();
+        let version = self.newest(&key) + 1;
+        self.newest.insert(key.clone(), version);
+        let text = earlier.value.to_string();
+        self.published.insert((key, version), text);
+        let object = Object {
+            version,
+            ..earlier.clone()
+        };
+        self.read(host, object);
+        version
+    }
+
     pub fn read(&mut self, host: &HostName, object: Object) {
         let draw = self.rng.random();
         self.step(host, Input::Read(vec![object], draw));
--- a/crates/core/tests/transfers/parts.rs
+++ b/crates/core/tests/transfers/parts.rs
@@ -1,9 +1,12 @@
 //! What hosts make of parts that are wrong, late, or belong to another version.
 
+use std::collections::BTreeSet;
+
+use pollenrouter_core::delta;
 use pollenrouter_core::membership::{Fetch, Input, Output, Part, Transfer};
 use rstest::rstest;
 
-use crate::network::{Envelope, Fate, KEY, Network, host};
+use crate::network::{Envelope, FLUSH_STEPS, Fate, KEY, Network, host};
 
 /// Flush intervals within which a value is fetched again after one failure, 1.5 s.
 const RECOVERY_FLUSHES: u64 = 60;
@@ -194,6 +197,80 @@
     assert_eq!(network.held(&host(1), KEY), version);
 }
 
+/// Guards against a table that is sent twice because a repeated part is taken for the next one.
+#[rstest]
+#[case::at_once(0)]
+#[case::after_the_next_one(3)]
+fn a_repeated_part_does_not_begin_another_transfer(#[case] delay: u64) {
+    let mut network = Network::new(2, 1, 17);
+    network.is_reliable = false;
+    network.publish(&host(0), KEY);
+    let mut repeated = BTreeSet::new();
+    network.run(RECOVERY_FLUSHES, |envelope| match envelope.transfer() {
+        Some(Transfer::Part(part)) if repeated.insert(part.offset) => Fate::Repeat(delay),
+        _ => Fate::Deliver,
+    });
+    assert!(repeated.len() >= 3, "{repeated:?}");
+    assert_eq!(network.held(&host(1), KEY), 1);
+    assert_eq!(network.sent[&host(1)].first_fetches, 1);
+}
+
+/// Guards against changes that are sent whole for good once one of them did not lead to the value.
+#[test]
+fn the_next_version_is_sent_as_a_change_again() {
+    let mut network = Network::new(2, 1, 18);
+    network.publish(&host(0), KEY);
+    network.run(20, |_| Fate::Deliver);
+    network.publish(&host(0), KEY);
+    let mut wholes = 0;
+    while wholes < 2 {
+        network.run(1, |envelope| match envelope.transfer() {
+            Some(Transfer::Part(part)) if part.base != 0 => {
+                part.value_hash ^= 1;
+                Fate::Deliver
+            }
+            Some(Transfer::Part(_)) if wholes >= 2 => Fate::Delay(FLUSH_STEPS),
+            Some(Transfer::Part(_)) => {
+                wholes += 1;
+                Fate::Deliver
+            }
+            _ => Fate::Deliver,
+        });
+    }
+    network.publish(&host(0), KEY);
+    let mut bases = Vec::new();
+    network.run(RECOVERY_FLUSHES, |envelope| {
+        if let Some(Transfer::Part(part)) = envelope.transfer()
+            && part.version == 3
+        {
+            bases.push(part.base);
+        }
+        Fate::Deliver
+    });
+    let had = &network.versions[&(host(1), KEY.into())];
+    assert_eq!(*had, [1, 2, 3]);
+    assert!(bases.iter().all(|base| *base == 2), "{bases:?}");
+}
+
+/// Guards against a change of a version that the receiver never had, with the same text.
+#[test]
+fn a_change_is_one_of_the_version_that_the_receiver_has() {
+    let mut network = Network::new(2, 1, 19);
+    let first = network.new_version(KEY);
+    network.read(&host(0), first.clone());
+    network.publish(&host(0), KEY);
+    let again = network.publish_again(&host(0), &first);
+    network.publish(&host(0), KEY);
+    let fetch = Fetch {
+        key: KEY.into(),
+        held: again,
+        held_hash: delta::hash(first.value.as_bytes()),
+        encoding: 0,
+        offset: 0,
+    };
+    assert_eq!(first_part(&mut network, fetch).base, again);
+}
+
 /// Guards against two large values that a host fetches from the same one at the same time, and of
 /// which each interrupts the other.
 #[test]
