Test a sender that restarts, sends nothing or states too large a size

The transfer from a sender that changes its version or restarts now has to end within 375 ms, less than the 500 ms after which a silent host is given up.

--- a/crates/core/tests/transfers/parts.rs
+++ b/crates/core/tests/transfers/parts.rs
@@ -10,6 +10,8 @@
 
 /// Flush intervals within which a value is fetched again after one failure, 1.5 s.
 const RECOVERY_FLUSHES: u64 = 60;
+/// Flush intervals within which a value is fetched if no request has to be given up, 375 ms.
+const PROMPT_FLUSHES: u64 = 15;
 
 struct Case {
     /// Changes the part with this number, or says what happens to it.
@@ -132,7 +134,11 @@
     while parts < 2 {
         network.run(1, |envelope| {
             parts += usize::from(matches!(envelope.transfer(), Some(Transfer::Part(_))));
-            if parts > 2 { Fate::Lose } else { Fate::Deliver }
+            if parts > 2 {
+                Fate::Delay(FLUSH_STEPS)
+            } else {
+                Fate::Deliver
+            }
         });
     }
     assert_eq!(network.held(&host(1), KEY), 0);
@@ -140,7 +146,7 @@
         network.restart(&host(0));
     }
     let version = network.publish(&host(0), KEY);
-    network.run(RECOVERY_FLUSHES, |_| Fate::Deliver);
+    network.run(PROMPT_FLUSHES, |_| Fate::Deliver);
     assert_eq!(network.held(&host(1), KEY), version);
 }
 
@@ -197,6 +203,20 @@
     assert_eq!(network.held(&host(1), KEY), version);
 }
 
+/// Guards against memory that is filled by a sender that states a size beyond the maximum.
+#[test]
+fn parts_of_a_value_that_is_too_large_are_not_kept() {
+    let mut network = Network::new(2, 1, 20);
+    network.publish(&host(0), KEY);
+    network.run(PROMPT_FLUSHES, |envelope| {
+        if let Some(Transfer::Part(part)) = envelope.transfer() {
+            part.encoded_bytes = delta::VALUE_MAX_BYTES + 1;
+        }
+        Fate::Deliver
+    });
+    assert_eq!(network.sent[&host(1)].fetches, 1);
+}
+
 /// Guards against a table that is sent twice because a repeated part is taken for the next one.
 #[rstest]
 #[case::at_once(0)]
@@ -279,7 +299,7 @@
     let other = "tables/other";
     let objects = vec![network.new_version(KEY), network.new_version(other)];
     network.step(&host(0), Input::Read(objects, 0));
-    network.run(15, |_| Fate::Deliver);
+    network.run(PROMPT_FLUSHES, |_| Fate::Deliver);
     assert_eq!(network.held(&host(1), KEY), 1);
     assert_eq!(network.held(&host(1), other), 1);
 }
--- a/crates/core/tests/transfers/random.rs
+++ b/crates/core/tests/transfers/random.rs
@@ -1,6 +1,6 @@
 //! Random faults of messages and hosts, and of what hosts announce.
 
-use pollenrouter_core::membership::Transfer;
+use pollenrouter_core::membership::{Membership, Transfer};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof, proptest};
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -124,7 +124,9 @@
             }
             Action::Announce(from, to) => {
                 let newest = network.newest(KEY);
-                network.announce(&host(from), &host(to), newest);
+                if newest > 0 {
+                    network.announce(&host(from), &host(to), newest);
+                }
             }
             Action::Run(flushes) => {
                 let (rates, cut, rng) = (self.rates, &self.cut, &mut self.rng);
@@ -189,6 +191,8 @@
             let newest = network.newest(key);
             let held: Vec<u64> = (0..HOSTS).map(|n| network.held(&host(n), key)).collect();
             assert!(network.all_have(key, newest), "{key} {newest}: {held:?}");
+            let is_announced = |daemon: &Membership| daemon.announced(key).is_some();
+            assert!(!network.daemons.values().any(is_announced), "{key} {newest}");
         }
         network.sent.clear();
         network.run(QUIET_FLUSHES, |_| Fate::Deliver);
--- a/crates/core/tests/transfers/sources.rs
+++ b/crates/core/tests/transfers/sources.rs
@@ -118,6 +118,24 @@
     assert!(fetches <= 11 * busy, "{fetches} requests in a second");
 }
 
+/// Guards against requests as fast as a host answers them with empty parts.
+#[test]
+fn a_host_that_sends_nothing_is_not_asked_all_the_time() {
+    let mut network = Network::new(2, 1, 21);
+    network.publish(&host(0), KEY);
+    network.run(40, |envelope| {
+        if let Some(Transfer::Part(part)) = envelope.transfer() {
+            part.bytes.clear();
+        }
+        Fate::Deliver
+    });
+    let fetches = network.sent[&host(1)].fetches;
+    assert!(
+        (1..=11).contains(&fetches),
+        "{fetches} requests in a second"
+    );
+}
+
 /// Guards against a value that is sent again and again if it never arrives as it was sent.
 #[rstest]
 #[case::one(1)]
