Refuse with 503 what a newer table that was announced may allow

Callers got 404 for routes, and 401 for keys, of a table that their daemon did not have yet, though it had heard that a newer one exists.

Cause: the listener judged by the table in force alone. The same held for 413 and 431 by its limits (431 also by the default limit before there was a table), for 413 by a table that was replaced while the body arrived, and for 403 of service documents.

Now the listener asks which versions are known. If another daemon has announced one that this daemon lacks, what the own table does not allow is refused with 503, not-run, "a newer routing table is on its way" and a retry-after of 0.3 s. Requests on known routes go on as before. An announcement that no daemon repeats counts for ten rounds, so that a version whose only holder is lost is not waited for without end; peers repeat what they have about each round. A version that this daemon holds, also one it has rejected, is none on its way. With service documents a newer document counts in the same way.

Refusals of the listeners are counted in pollenrouter_listener_refusals_total by reason; "request rejected" names the table in force and the announced one, which are numbered differently (configuration, platform), so that their maximum meant nothing.

Failed before: two tests of core/tests/announcements (a lost version stayed announced); with a verdict that ignores announcements seven tests of caller/tests/listener/stale_tables. All pass, with the other tests of caller, core's membership, watching and start of all hosts, dev's badinput and the daemon tests on keys and refusals.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod pipeline;
 pub mod request;
 pub mod response;
+pub mod tables;
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -28,10 +28,12 @@
 use crate::connection;
 use crate::connections::Connections;
 use crate::disconnect;
+use crate::head::HeadError;
 use crate::message::{Call, CallerResult, CallerResultKind, Event};
 use crate::pipeline::{self, Pipeline};
 use crate::request;
 use crate::response;
+use crate::tables::{CurrentTables, Tables};
 
 /// Path prefix at which callers request tickets; it is followed by the name of the service.
 const TICKETS_PATH: &str = "/.pollenrouter/tickets/";
@@ -53,12 +55,11 @@
 pub enum LookupResult {
     /// The route that matches.
     Route(Box<RouteMatch>),
-    /// No route of the table with this version matches; with the newest version that this daemon
-    /// has heard of.
-    NoRoute(id::Version, id::Version),
-    /// The route needs a key, and no organisation of the table with the first version holds the
-    /// one that the request carries; versions as for `NoRoute`.
-    UnknownKey(id::Version, id::Version),
+    /// No route of the table in force matches.
+    NoRoute(Tables),
+    /// The route needs a key, and no organisation of the table in force holds the one that the
+    /// request carries.
+    UnknownKey(Tables),
     /// The daemon has not loaded a routing table yet.
     NotReady,
 }
@@ -66,6 +67,8 @@
 /// Route and service chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteMatch {
+    /// Version of the table that has the route.
+    pub table: id::Version,
     /// The route.
     pub route: table::Route,
     /// The service that the request is sent to.
@@ -85,6 +88,10 @@
     pub sink: Sink,
     /// Looks up routes.
     pub lookup: RouteLookup,
+    /// Versions of the routing table that are known.
+    pub tables: CurrentTables,
+    /// Counts requests that are refused before they reach the router.
+    pub count_refusal: Arc<dyn Fn(Refusal) + Send + Sync>,
     /// Memory for bodies and responses.
     pub memory: Memory,
     /// Maximum number of connections of each listener.
@@ -116,11 +123,16 @@
     let max_connections = cx.max_connections;
     let connections = Rc::<Connections>::default();
     let cx = Rc::new(cx);
+    let reject_head = {
+        let cx = cx.clone();
+        Rc::new(move |err: &HeadError| head_rejection(&cx, err))
+    };
     let admit: Admit = Rc::new(move |head| admit(&cx, audience, head));
     let serve_connection = {
         let (stop, connections) = (stop.clone(), connections.clone());
         move |stream| {
-            let pipeline = Pipeline::new(admit.clone(), limits.clone(), memory.clone());
+            let (admit, reject_head) = (admit.clone(), reject_head.clone());
+            let pipeline = Pipeline::new(admit, reject_head, limits.clone(), memory.clone());
             connection::serve(stream, pipeline, connections.add(), stop.clone())
         }
     };
@@ -147,23 +159,23 @@
         }
     };
     let refused = |refusal, tables| {
-        let refused = response::refused(&cx.convention, refusal, None, false);
+        let refused = refuse(cx, refusal, false);
         let refused = response::rejected(refused, parsed.ticket.as_ref());
         log_rejected(&subject(cx, head), tables, &refused, &refusal);
         Admission::Respond(refused)
     };
     let matched = match (cx.lookup)(&parsed) {
         LookupResult::Route(matched) => matched,
-        LookupResult::NoRoute(table, newest) => {
-            return refused(Refusal::NoRoute, Some((table, newest)));
+        LookupResult::NoRoute(tables) => {
+            return refused(tables.verdict(Refusal::NoRoute), Some(tables));
         }
-        LookupResult::UnknownKey(table, newest) => {
-            return refused(Refusal::UnknownKey, Some((table, newest)));
+        LookupResult::UnknownKey(tables) => {
+            return refused(tables.verdict(Refusal::UnknownKey), Some(tables));
         }
         LookupResult::NotReady => return refused(Refusal::NotReady, None),
     };
     let headers = forwarded_headers(cx, audience, &matched, &head.headers);
-    let body_max_bytes = matched.body_bytes;
+    let (table, body_max_bytes) = (matched.table, matched.body_bytes);
     // Requests may run at the same time only if their order does not matter (RFC 9112,
     // section 9.3.2).
     let is_concurrent = matched.route.policy.repeatable && parsed.ticket.is_none();
@@ -174,13 +186,16 @@
             let performed = match read.body {
                 Ok(body) => call(&cx, audience, parsed, *matched, headers, body, read.waited).await,
                 Err(err) => {
-                    let rejected = match err {
-                        BodyError::NoRoom => {
-                            let refusal = Refusal::Overloaded;
-                            response::refused(&cx.convention, refusal, None, ticket.is_some())
-                        }
-                        _ => response::body_error(&err),
+                    let tables = (cx.tables)();
+                    let refusal = match err {
+                        BodyError::NoRoom => Some(Refusal::Overloaded),
+                        BodyError::TooLarge(_) => tables.outdated(Some(table)),
+                        _ => None,
                     };
+                    let rejected = refusal.map_or_else(
+                        || response::body_error(&err),
+                        |refusal| refuse(&cx, refusal, ticket.is_some()),
+                    );
                     let name = cx.convention.request_id_header;
                     let request = headers.iter().find(|(n, _)| n == name);
                     let subject = Subject {
@@ -188,7 +203,11 @@
                         host: &parsed.host,
                         path: parsed.path_without_query(),
                     };
-                    log_rejected(&subject, None, &rejected, &err);
+                    let reason: &dyn fmt::Display = match &refusal {
+                        Some(refusal) if *refusal != Refusal::Overloaded => refusal,
+                        _ => &err,
+                    };
+                    log_rejected(&subject, Some(tables), &rejected, reason);
                     Err(rejected)
                 }
             };
@@ -220,21 +239,38 @@
     }
 }
 
-/// Logs a response that the listener gives without the router. `tables` are the version of the
-/// table that decided, and the newest one that this daemon has heard of.
+/// The response to a request that is refused before it reaches the router.
+fn refuse(cx: &Context, refusal: Refusal, had_ticket: bool) -> Response<Bytes> {
+    (cx.count_refusal)(refusal);
+    response::refused(&cx.convention, refusal, None, had_ticket)
+}
+
+/// The response to bytes that are not a request head.
+fn head_rejection(cx: &Context, err: &HeadError) -> Response<Bytes> {
+    let tables = (cx.tables)();
+    let outdated = tables.outdated(tables.active);
+    match outdated.filter(|_| *err == HeadError::TooLarge) {
+        Some(refusal) => refuse(cx, refusal, false),
+        None => response::head_error(err),
+    }
+}
+
+/// Logs a response that the listener gives without the router. `tables` are those that were known
+/// when it decided.
 fn log_rejected(
     subject: &Subject,
-    tables: Option<(id::Version, id::Version)>,
+    tables: Option<Tables>,
     response: &Response<Bytes>,
     reason: &dyn fmt::Display,
 ) {
-    let (table, newest_table) = tables.unzip();
+    let table = tables.and_then(|tables| tables.active);
+    let announced_table = tables.map(|tables| tables.announced);
     info!(
         request:% = subject.request,
         host:% = subject.host,
         path:% = subject.path,
         table:?,
-        newest_table:?,
+        announced_table:?,
         status = response.status().as_u16();
         "request rejected: {reason}"
     );
@@ -281,12 +317,7 @@
     let had_ticket = parsed.ticket.is_some();
     let deadline = parsed.remaining.unwrap_or(matched.route.policy.deadline);
     if waited >= deadline {
-        return Err(response::refused(
-            &cx.convention,
-            Refusal::Late,
-            None,
-            had_ticket,
-        ));
+        return Err(refuse(cx, Refusal::Late, had_ticket));
     }
     let token = cx.next_token.fetch_add(1, Ordering::Relaxed);
     let (reply_to, result) = oneshot::channel();
@@ -313,8 +344,7 @@
         reply_to,
     });
     if !(cx.sink)(Event::Call(call)) {
-        let refusal = Refusal::Overloaded;
-        return Err(response::refused(&cx.convention, refusal, None, had_ticket));
+        return Err(refuse(cx, Refusal::Overloaded, had_ticket));
     }
     let guard = disconnect::DisconnectGuard::new(token, cx.sink.clone());
     let result = result.await.unwrap_or(CallerResult {
@@ -345,10 +375,10 @@
         async move {
             let (reply_to, issued) = oneshot::channel();
             if !(cx.sink)(Event::TicketRequested(service, reply_to)) {
-                return response::refused(&cx.convention, Refusal::Overloaded, None, false);
+                return refuse(&cx, Refusal::Overloaded, false);
             }
             match issued.await.ok().flatten() {
-                None => response::refused(&cx.convention, Refusal::NoTarget, None, false),
+                None => refuse(&cx, Refusal::NoTarget, false),
                 Some(ticket) => response::ticket(&ticket),
             }
         }
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -25,9 +25,9 @@
 use crate::admission::{Admission, Admit, ReadRequest, Run};
 use crate::buffer::ReadBuffer;
 use crate::decoder::Decoder;
+use crate::encode;
 use crate::head::{self, Framing, HeadError};
 use crate::output::Output;
-use crate::{encode, response};
 
 /// Maximum number of requests of one connection that are worked on at the same time.
 pub const AT_WORK_MAX: usize = 8;
@@ -47,6 +47,9 @@
 /// Returns the current limits for callers, which can change at run time.
 pub type CurrentLimits = Arc<dyn Fn() -> table::CallerLimits + Send + Sync>;
 
+/// The response to bytes that are not a request head.
+pub type RejectHead = Rc<dyn Fn(&HeadError) -> Response<Bytes>>;
+
 /// A request whose head has arrived.
 struct Accepted {
     run: Run,
@@ -76,6 +79,7 @@
 /// The requests of one connection.
 pub struct Pipeline {
     admit: Admit,
+    reject_head: RejectHead,
     limits: CurrentLimits,
     pub(crate) memory: Memory,
     pub(crate) input: ReadBuffer,
@@ -106,10 +110,16 @@
 impl Pipeline {
     /// Creates a pipeline without requests.
     #[must_use]
-    pub fn new(admit: Admit, limits: CurrentLimits, memory: Memory) -> Self {
+    pub fn new(
+        admit: Admit,
+        reject_head: RejectHead,
+        limits: CurrentLimits,
+        memory: Memory,
+    ) -> Self {
         let now = Instant::now();
         Self {
             admit,
+            reject_head,
             limits,
             memory,
             input: ReadBuffer::default(),
@@ -274,7 +284,7 @@
 
     /// Ends the connection with the response to an invalid head.
     fn reject_head(&mut self, err: HeadError) -> bool {
-        self.fail(response::head_error(&err), &err)
+        self.fail((self.reject_head)(&err), &err)
     }
 
     /// Ends the connection with a response to bytes that are not a request.
--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -19,6 +19,9 @@
 
 /// `retry-after` of refusals for which no better value is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `retry-after` while a newer table is on its way, which takes tenths of a second: a caller that
+/// owes its user an answer within 0.6 s still gives one after one such wait.
+const STALE_TABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// The response for a call result.
 #[must_use]
@@ -78,7 +81,11 @@
         StatusCode::TOO_MANY_REQUESTS,
     ];
     if may_return.contains(&status) {
-        let after = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        let default = match refusal {
+            Refusal::StaleTable => STALE_TABLE_RETRY_AFTER,
+            _ => DEFAULT_RETRY_AFTER,
+        };
+        let after = retry_after.unwrap_or(default);
         let text = if convention.fractional_retry_after {
             format!("{:.3}", after.as_secs_f64())
         } else {
--- a/crates/caller/tests/listener/main.rs
+++ b/crates/caller/tests/listener/main.rs
@@ -5,4 +5,5 @@
 mod keys;
 mod memory;
 mod pipelining;
+mod stale_tables;
 mod support;
--- a/crates/caller/tests/listener/support.rs
+++ b/crates/caller/tests/listener/support.rs
@@ -12,6 +12,8 @@
 use pollenrouter_caller::listener::{self, LookupResult, RouteMatch};
 use pollenrouter_caller::message::{Call, CallerResult, CallerResultKind, Event};
 use pollenrouter_caller::request::ParsedRequest;
+use pollenrouter_caller::tables::Tables;
+use pollenrouter_core::call::Refusal;
 use pollenrouter_core::organisation::KeyDigest;
 use pollenrouter_core::{http_message, service, table};
 use pollenrouter_http::convention;
@@ -29,9 +31,17 @@
 pub struct Listener {
     pub address: SocketAddr,
     pub events: Receiver<Event>,
+    tables: Arc<Mutex<Tables>>,
+    refusals: Arc<Mutex<Vec<Refusal>>>,
     stop: watch::Sender<bool>,
 }
 
+/// The table in force, and no newer one.
+pub const TABLES: Tables = Tables {
+    active: Some(1),
+    announced: 0,
+};
+
 /// What the router does with an event before the test sees it; `None` if it handles the event.
 pub type Intercept = fn(Event) -> Option<Event>;
 
@@ -58,13 +68,21 @@
     let (tx, events) = mpsc::channel();
     let tx = Mutex::new(tx);
     let (stop, stopping) = watch::channel(false);
+    let tables = Arc::new(Mutex::new(TABLES));
+    let (current, looked_up) = (tables.clone(), tables.clone());
+    let refusals = Arc::<Mutex<Vec<Refusal>>>::default();
+    let counted = refusals.clone();
     let cx = listener::Context {
         sink: Arc::new(move |event| match intercept(event) {
             None => true,
             // The receiver is gone if the test has ended.
             Some(event) => tx.lock().expect("no test panics here").send(event).is_ok(),
         }),
-        lookup: Arc::new(lookup),
+        lookup: Arc::new(move |req| lookup(req, *looked_up.lock().expect("no test panics here"))),
+        tables: Arc::new(move || *current.lock().expect("no test panics here")),
+        count_refusal: Arc::new(move |refusal| {
+            counted.lock().expect("no test panics here").push(refusal);
+        }),
         limits: Arc::new(move || limits),
         memory,
         max_connections: 1024,
@@ -83,6 +101,8 @@
     Listener {
         address,
         events,
+        tables,
+        refusals,
         stop,
     }
 }
@@ -93,20 +113,24 @@
 
 /// Requests below `/read` may repeat, those below `/write` may not. Those below `/keyed` need
 /// [`KEY`], those below `/open` may have it.
-fn lookup(req: &ParsedRequest) -> LookupResult {
+fn lookup(req: &ParsedRequest, tables: Tables) -> LookupResult {
+    let Some(table) = tables.active else {
+        return LookupResult::NotReady;
+    };
     let (needs_key, is_open) = (
         req.path.starts_with("/keyed"),
         req.path.starts_with("/open"),
     );
     let repeatable = req.path.starts_with("/read");
     if !repeatable && !needs_key && !is_open && !req.path.starts_with("/write") {
-        return LookupResult::NoRoute(1, 1);
+        return LookupResult::NoRoute(tables);
     }
     let has_key = req.key == Some(KeyDigest::of(KEY.as_bytes()));
     if needs_key && !has_key {
-        return LookupResult::UnknownKey(1, 1);
+        return LookupResult::UnknownKey(tables);
     }
     LookupResult::Route(Box::new(RouteMatch {
+        table,
         route: table::Route {
             name: "route".into(),
             host: None,
@@ -176,6 +200,15 @@
         self.events.try_recv().is_err()
     }
 
+    pub fn set_tables(&self, tables: Tables) {
+        *self.tables.lock().expect("no test panics here") = tables;
+    }
+
+    /// The refusals that the listener has counted.
+    pub fn refusals(&self) -> Vec<Refusal> {
+        self.refusals.lock().expect("no test panics here").clone()
+    }
+
     pub fn stop(&self) {
         self.stop.send_replace(true);
     }
@@ -211,6 +244,7 @@
 pub struct Response {
     pub status: u16,
     pub closes: bool,
+    pub retry_after: Option<String>,
     pub body: Vec<u8>,
 }
 
@@ -249,6 +283,7 @@
         let mut response = Response {
             status: 0,
             closes: false,
+            retry_after: None,
             body: Vec::new(),
         };
         let mut len = 0;
@@ -262,6 +297,9 @@
             if let Some(value) = line.strip_prefix("content-length: ") {
                 len = value.parse().expect("length must be a number");
             }
+            if let Some(value) = line.strip_prefix("retry-after: ") {
+                response.retry_after = Some(value.into());
+            }
             response.closes |= line == "connection: close";
             if line.is_empty() {
                 break;
--- a/crates/caller/tests/statuses.rs
+++ b/crates/caller/tests/statuses.rs
@@ -1,10 +1,12 @@
 //! Statuses of answers that a target, or a gate of another version, may state.
 
 use bytes::Bytes;
+use hyper::header::RETRY_AFTER;
 use pollenrouter_caller::message::{CallerResult, CallerResultKind};
 use pollenrouter_caller::response;
+use pollenrouter_core::call::Refusal;
 use pollenrouter_core::http_message::ResponseHead;
-use pollenrouter_http::convention;
+use pollenrouter_http::convention::{self, Convention};
 use pollenrouter_http::problem::OUTCOME_HEADER;
 use rstest::rstest;
 
@@ -57,3 +59,19 @@
     assert!(!response.headers().contains_key(OUTCOME_HEADER));
     assert_eq!(response.body(), "done");
 }
+
+/// Guards against a wait of a second, a third of the time that many callers have, for a table that
+/// comes within some tenths of one.
+#[rstest]
+#[case::stale_table(Refusal::StaleTable, "0.300")]
+#[case::no_target(Refusal::NoTarget, "1.000")]
+fn a_refusal_states_when_to_return(#[case] refusal: Refusal, #[case] after: &str) {
+    let convention = Convention {
+        fractional_retry_after: true,
+        ..convention::OWN
+    };
+    let response = response::refused(&convention, refusal, None, false);
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()[RETRY_AFTER], after);
+    assert_eq!(response.headers()[OUTCOME_HEADER], "not-run");
+}
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -131,6 +131,8 @@
         Evacuated { display("the failure domain of the target is evacuated") }
         /// No holder of the organisation's quota could be asked.
         QuotaUnknown { display("no holder of the organisation's quota is reachable") }
+        /// The routing table in force does not allow the request, and a newer one was announced.
+        StaleTable { display("a newer routing table is on its way") }
     }
 }
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -126,8 +126,8 @@
         &self.replica
     }
 
-    /// The newest version of an object under a prefix that another daemon has announced and that
-    /// this daemon lacks.
+    /// The newest version of an object under a prefix that another daemon has announced within the
+    /// latest rounds and that this daemon lacks.
     #[must_use]
     pub fn announced(&self, prefix: &str) -> Option<id::Version> {
         self.announcements.newest(prefix)
@@ -361,6 +361,7 @@
     }
 
     fn round(&mut self, draw: u64, out: &mut Vec<Output>) {
+        self.announcements.on_round();
         let message = self.digest_message();
         let mut recipients: Vec<id::HostName> = self.successor.iter().cloned().collect();
         recipients.extend(pick(&self.peers, draw));
--- a/crates/core/src/membership/announcements.rs
+++ b/crates/core/src/membership/announcements.rs
@@ -5,6 +5,11 @@
 use crate::id;
 use crate::replica::{Key, Object, Replica};
 
+/// Rounds after which an announcement that no daemon repeats no longer counts. A daemon that has
+/// the version repeats it within about two rounds, so nobody in reach has it after ten, and callers
+/// of routes that exist nowhere must not be told to come back for ever.
+const ANNOUNCEMENT_TTL_ROUNDS: u32 = 10;
+
 /// Sizes of the values that other daemons have sent, bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Received {
@@ -14,10 +19,11 @@
     pub known_bytes: u64,
 }
 
-/// Newest version of each object that any daemon has announced.
+/// Versions that other daemons have announced and that this daemon lacks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Announcements {
-    newest: BTreeMap<Key, id::Version>,
+    /// Rounds since a daemon announced a version of an object.
+    rounds: BTreeMap<(Key, id::Version), u32>,
     received: Received,
 }
 
@@ -31,26 +37,36 @@
         for (key, version) in versions {
             let is_held = held.get(key).is_some_and(|held| held.version >= *version);
             if !is_held {
-                let newest = self.newest.entry(key.clone()).or_default();
-                *newest = version.max(newest).to_owned();
+                self.rounds.insert((key.clone(), *version), 0);
             }
         }
     }
 
-    /// Records that this daemon has a version.
+    /// Records that this daemon has a version, also if that is one it cannot use.
     pub fn on_held(&mut self, object: &Object) {
-        let newest = self.newest.get(&object.key);
-        if newest.is_some_and(|newest| *newest <= object.version) {
-            self.newest.remove(&object.key);
+        let versions = |version| (object.key.clone(), version);
+        let up_to_held = self.rounds.range(versions(0)..=versions(object.version));
+        let up_to_held: Vec<_> = up_to_held.map(|(version, _)| version.clone()).collect();
+        for version in up_to_held {
+            self.rounds.remove(&version);
         }
     }
 
+    /// Counts a round; forgets versions that no daemon has announced for
+    /// [`ANNOUNCEMENT_TTL_ROUNDS`].
+    pub fn on_round(&mut self) {
+        self.rounds.retain(|_, rounds| {
+            *rounds += 1;
+            *rounds < ANNOUNCEMENT_TTL_ROUNDS
+        });
+    }
+
     /// The newest version of any object under a prefix that was announced and that this daemon
     /// lacks.
     pub fn newest(&self, prefix: &str) -> Option<id::Version> {
-        let from_prefix = self.newest.range(Key::new(prefix)..);
-        let under_prefix = from_prefix.take_while(|(key, _)| key.starts_with(prefix));
-        under_prefix.map(|(_, version)| *version).max()
+        let from_prefix = self.rounds.range((Key::new(prefix), 0)..);
+        let under_prefix = from_prefix.take_while(|((key, _), _)| key.starts_with(prefix));
+        under_prefix.map(|((_, version), _)| *version).max()
     }
 
     /// Counts a value that another daemon has sent.
--- a/crates/router/src/fleet/activation.rs
+++ b/crates/router/src/fleet/activation.rs
@@ -63,7 +63,11 @@
 
     /// Tells the listeners which version of the table other daemons have announced.
     pub(super) fn record_announced_table(&mut self) {
-        let announced = self.membership.announced(object::TABLES);
+        let prefix = match self.profile.parse_table {
+            Some(_) => object::TABLES,
+            None => object::SERVICES,
+        };
+        let announced = self.membership.announced(prefix);
         if self.staleness.on_announced(announced) {
             let announced = announced.unwrap_or_default();
             self.shared
--- a/crates/router/src/fleet/staleness.rs
+++ b/crates/router/src/fleet/staleness.rs
@@ -1,13 +1,15 @@
 //! How old this daemon's knowledge of the platform is, for operators.
 
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use log::{info, warn};
+use pollenrouter_caller::tables::Tables;
 use pollenrouter_core::{id, membership, watching};
 use pollenrouter_http::clock;
 use serde::Serialize;
 
-use super::Fleet;
+use super::{Fleet, ListenerState};
 
 /// What is remembered between two reports.
 #[derive(Debug, Default)]
@@ -61,12 +63,31 @@
     }
 }
 
+impl ListenerState {
+    /// Versions of the routing table that are known.
+    #[must_use]
+    pub fn tables(&self) -> Tables {
+        let active = self.table.as_ref().filter(|_| self.is_confirmed);
+        Tables {
+            active: active.map(|table| table.version),
+            announced: self.announced_table,
+        }
+    }
+}
+
 impl Fleet {
     /// Takes the sizes of the values that other daemons have sent since the latest call.
     pub fn take_received(&mut self) -> membership::Received {
         self.membership.take_received()
     }
 
+    /// Versions of the routing table that are known.
+    #[must_use]
+    pub fn tables(&self) -> Tables {
+        let state = self.shared.listener_state.read();
+        state.unwrap_or_else(PoisonError::into_inner).tables()
+    }
+
     /// How old this daemon's knowledge of the platform is.
     #[must_use]
     pub fn staleness(&self) -> Report {
--- a/crates/router/src/instruments.rs
+++ b/crates/router/src/instruments.rs
@@ -5,6 +5,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry::{KeyValue, Value};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pollenrouter_core::call::Refusal;
 use pollenrouter_core::{hint, membership};
 use pollenrouter_http::memory::Memory;
 use prometheus::{Encoder, TextEncoder};
@@ -42,7 +43,7 @@
     quota_tokens: Counter<u64>,
     quota_organisations: Gauge<u64>,
     quota_waiting: Gauge<u64>,
-    key_checks: KeyChecks,
+    listener_counters: ListenerCounters,
     _provider: SdkMeterProvider,
 }
 
@@ -76,6 +77,27 @@
     }
 }
 
+/// Counter of the requests that the listeners refuse, by reason.
+#[derive(Clone)]
+pub struct ListenerRefusals(Counter<u64>);
+
+impl ListenerRefusals {
+    /// Counts a refusal.
+    pub fn count(&self, refusal: Refusal) {
+        let reason = label_value(&refusal.to_string());
+        self.0.add(1, &[KeyValue::new("reason", reason)]);
+    }
+}
+
+/// Counters of the listeners.
+#[derive(Clone)]
+pub struct ListenerCounters {
+    /// Checks of callers' keys.
+    pub keys: KeyChecks,
+    /// Requests that are refused before they reach the router.
+    pub refusals: ListenerRefusals,
+}
+
 /// Creates the instruments, and the registry that [`render`] reads them from.
 pub fn build(memory: &Memory) -> Result<(Instruments, prometheus::Registry), Error> {
     let registry = prometheus::Registry::new();
@@ -115,7 +137,10 @@
         quota_tokens: meter.u64_counter("pollenrouter_quota_tokens").build(),
         quota_organisations: meter.u64_gauge("pollenrouter_quota_organisations").build(),
         quota_waiting: meter.u64_gauge("pollenrouter_quota_waiting").build(),
-        key_checks: KeyChecks(meter.u64_counter("pollenrouter_keys").build()),
+        listener_counters: ListenerCounters {
+            keys: KeyChecks(meter.u64_counter("pollenrouter_keys").build()),
+            refusals: ListenerRefusals(meter.u64_counter("pollenrouter_listener_refusals").build()),
+        },
         _provider: provider,
     };
     Ok((instruments, registry))
@@ -158,9 +183,9 @@
         self.refusals.add(1, &labels);
     }
 
-    /// The counter of the checks of callers' keys.
-    pub fn key_checks(&self) -> KeyChecks {
-        self.key_checks.clone()
+    /// The counters of the listeners.
+    pub fn listener_counters(&self) -> ListenerCounters {
+        self.listener_counters.clone()
     }
 
     /// Counts a probe of the target.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -158,7 +158,7 @@
                 let (retry_percent, retry_slack) =
                     limits.map_or((0, 0), |limits| (limits.retry_percent, limits.retry_slack));
                 let shed = limits.map_or_else(Shed::default, |limits| limits.shed);
-                match routes::admit(table, self.service.as_ref(), &call) {
+                match routes::admit(table, self.fleet.tables(), self.service.as_ref(), &call) {
                     Ok(()) => self.admit(RoutedCall {
                         sheddable: table.is_some_and(|table| {
                             let has_organisation = call.organisation.is_some();
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -3,6 +3,7 @@
 use pollenrouter_caller::listener::{LookupResult, RouteMatch};
 use pollenrouter_caller::message::Call;
 use pollenrouter_caller::request;
+use pollenrouter_caller::tables::Tables;
 use pollenrouter_core::call::Refusal;
 use pollenrouter_core::{id, service, table};
 
@@ -15,12 +16,12 @@
     req: &request::ParsedRequest,
     key_checks: &KeyChecks,
 ) -> LookupResult {
+    let tables = known.tables();
     let Some(table) = known.table.as_ref().filter(|_| known.is_confirmed) else {
         return LookupResult::NotReady;
     };
-    let newest = table.version.max(known.announced_table);
     let Some(route) = table.find_route(&req.host, &req.method, req.path_without_query()) else {
-        return LookupResult::NoRoute(table.version, newest);
+        return LookupResult::NoRoute(tables);
     };
     let organisations = table.organisations.as_ref();
     let organisation = organisations.and_then(|o| o.holder_of(req.key?));
@@ -28,18 +29,19 @@
         let outcome = key_outcome(req, &route.policy, organisation.is_some());
         key_checks.count(outcome);
         if matches!(outcome, KeyOutcome::Unknown | KeyOutcome::Missing) {
-            return LookupResult::UnknownKey(table.version, newest);
+            return LookupResult::UnknownKey(tables);
         }
     }
     let rank = organisation.and_then(|name| organisations?.get(name)?.rank);
     let Some(service) = route.pick_service(rand::random()) else {
-        return LookupResult::NoRoute(table.version, newest);
+        return LookupResult::NoRoute(tables);
     };
     let limits = table.services.get(service).map(|service| &service.limits);
     let body_bytes = limits.map_or(u64::MAX, |limits| limits.request_bytes);
     let mut route = route.clone();
     route.policy.rank = rank.unwrap_or(route.policy.rank);
     LookupResult::Route(Box::new(RouteMatch {
+        table: table.version,
         service: service.clone(),
         body_bytes: body_bytes.min(table.caller_limits.body_bytes),
         route,
@@ -66,6 +68,7 @@
 /// The reason for the refusal.
 pub fn admit(
     table: Option<&table::Table>,
+    tables: Tables,
     local_service: Option<&id::ServiceName>,
     call: &Call,
 ) -> Result<(), Refusal> {
@@ -74,11 +77,12 @@
     // another service.
     let document = document.ok_or(Refusal::StaleDocument)?;
     if call.depth == 0 && call.route.policy.audience == service::Audience::Internal {
-        return Err(Refusal::NotPublic);
+        return Err(tables.verdict(Refusal::NotPublic));
     }
     // A service calls through the daemon on its own host, so `local_service` is the caller.
     if call.depth > 0 {
-        document.admit(local_service)?;
+        let admitted = document.admit(local_service);
+        return admitted.map_err(|refusal| tables.verdict(refusal));
     }
     Ok(())
 }
--- a/crates/router/src/threads.rs
+++ b/crates/router/src/threads.rs
@@ -274,9 +274,9 @@
             stopping.clone(),
         ));
     }
-    let key_checks = router.instruments().key_checks();
+    let counters = router.instruments().listener_counters();
     let mut caller_context =
-        build_caller_context(&convention, memory, listener_state, key_checks, tx);
+        build_caller_context(&convention, memory, listener_state, counters, tx);
     caller_context.max_connections = max_connections;
     caller_context.local_service = service;
     let audiences = [service::Audience::Everyone, service::Audience::Internal];
@@ -350,16 +350,22 @@
     convention: &Convention,
     memory: Memory,
     state: SharedListenerState,
-    key_checks: instruments::KeyChecks,
+    counters: instruments::ListenerCounters,
     tx: event::Sender,
 ) -> callers::Context {
-    let limits_state = state.clone();
+    let (limits_state, tables_state) = (state.clone(), state.clone());
+    let instruments::ListenerCounters { keys, refusals } = counters;
     callers::Context {
         sink: Arc::new(move |event| event::try_send(&tx, Event::Caller(event))),
         lookup: Arc::new(move |req| {
             let state = state.read().unwrap_or_else(PoisonError::into_inner);
-            routes::find(&state, req, &key_checks)
+            routes::find(&state, req, &keys)
         }),
+        tables: Arc::new(move || {
+            let state = tables_state.read().unwrap_or_else(PoisonError::into_inner);
+            state.tables()
+        }),
+        count_refusal: Arc::new(move |refusal| refusals.count(refusal)),
         limits: Arc::new(move || {
             let state = limits_state.read().unwrap_or_else(PoisonError::into_inner);
             let table = state.table.as_ref();
