Refuse a ticket with 503 once its gate serves another service

Profile own: callers with a ticket got 409, "the ticket belongs to another service", after the target beside the gate that the ticket names was replaced by one of another service. The ticket was right, and the request proper.

Cause: a gate refuses such an offer as "wrong service", which describes the gate. The entry has compared the ticket with the request before, but passed the refusal on as if it were about the request; without a ticket that gave 503.

Now the entry takes it as "no target of this service is reachable", 503 with retry-after. A ticket of another service is refused by the entry as before.

The case target_was_replaced of caller/tests/gate_refusals failed before (409) and passes; so do the tests of caller and of core.

--- a/crates/caller/tests/gate_refusals.rs
+++ b/crates/caller/tests/gate_refusals.rs
@@ -9,8 +9,10 @@
 use pollenrouter_core::gate::target::TargetIncarnation;
 use pollenrouter_core::gate::{self, Gate};
 use pollenrouter_core::hint::Hint;
+use pollenrouter_core::id::{CallId, Ticket};
 use pollenrouter_core::service::{Limits, ProbeBudget, Service};
 use pollenrouter_http::convention;
+use pollenrouter_http::problem::OUTCOME_HEADER;
 use rstest::rstest;
 
 const SERVICE: &str = "seats";
@@ -182,3 +184,51 @@
     };
     assert_eq!(status(*result), 503);
 }
+
+/// What a gate refuses for a request with a ticket.
+struct TicketCase {
+    refusal: Refusal,
+    status: u16,
+}
+
+/// Guards against 409 for a proper request with a ticket because the gate's target now serves
+/// another service. Only another request with the same ticket is a conflict.
+#[rstest]
+#[case::target_was_replaced(TicketCase { refusal: Refusal::WrongService, status: 503 })]
+#[case::another_request(TicketCase { refusal: Refusal::WrongRequest, status: 409 })]
+fn a_gate_that_cannot_run_a_ticket_does_not_make_the_request_wrong(#[case] case: TicketCase) {
+    let mut entry = entry_with_gate();
+    let id = CallId {
+        entry: 2,
+        seq: 1,
+        nonce: 3,
+    };
+    let ticket = Ticket {
+        service: SERVICE.into(),
+        host: HOST.into(),
+        incarnation: GATE,
+        id,
+    };
+    let request = entry::Request {
+        ticket: Some(ticket),
+        at_most_once: true,
+        ..request()
+    };
+    entry.step(NOW, entry::Input::Call(request));
+    let reply = Reply::NotRun(case.refusal);
+    let outputs = entry.step(
+        NOW,
+        entry::Input::Reply(HOST.into(), id, reply, Hint::default()),
+    );
+    let [entry::Output::Done(_, CallResult::NotRun(refusal), ticket)] = outputs.as_slice() else {
+        panic!("the call must end: {outputs:?}");
+    };
+    let result = CallerResult {
+        kind: CallerResultKind::NotRun(*refusal),
+        ticket: ticket.clone(),
+        retry_after: None,
+    };
+    let response = response::from_result(&convention::OWN, result, true);
+    assert_eq!(response.status(), case.status);
+    assert_eq!(response.headers()[OUTCOME_HEADER], "not-run");
+}
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -139,13 +139,14 @@
 impl Refusal {
     /// The refusal that an entry reports for one that it received from a gate. A gate that lacks
     /// a document or a route knows less than the entry, whose table has the route: it cannot
-    /// tell that the request is wrong.
+    /// tell that the request is wrong. Nor can one whose target now serves another service.
     #[must_use]
     pub fn from_gate(self) -> Self {
         match self {
             Self::NoDocument | Self::NoRoute | Self::NotPublic | Self::CallerNotAllowed => {
                 Self::NotReady
             }
+            Self::WrongService => Self::NoTarget,
             other => other,
         }
     }
