Refuse a void ticket with 503 in place of 409

Cause: a void ticket counted as used wrongly. Nobody but the daemons voids one.

A ticket used with another request, or of another service, is still 409.

The case voided_by_a_query of caller/tests/gate_refusals failed before (409) and passes; so do the other tests of caller, and dev's badinput, which checks the 409 that remain.

--- a/crates/caller/src/response.rs
+++ b/crates/caller/src/response.rs
@@ -65,10 +65,9 @@
         Refusal::QuotaUsed => StatusCode::TOO_MANY_REQUESTS,
         // Without `retry-after`: the request would only be refused again.
         Refusal::CrashesTargets => StatusCode::BAD_GATEWAY,
-        // Without a ticket the caller did not cause the conflict.
-        Refusal::WrongService | Refusal::WrongRequest | Refusal::Void if had_ticket => {
-            StatusCode::CONFLICT
-        }
+        // Without a ticket the caller did not cause the conflict. A void ticket is none: its gate was
+        // asked for the call before it arrived there.
+        Refusal::WrongService | Refusal::WrongRequest if had_ticket => StatusCode::CONFLICT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut response = problem::response(status, CallOutcome::NotRun, &refusal.to_string());
--- a/crates/caller/tests/gate_refusals.rs
+++ b/crates/caller/tests/gate_refusals.rs
@@ -191,10 +191,12 @@
     status: u16,
 }
 
-/// Guards against 409 for a proper request with a ticket because the gate's target now serves
-/// another service. Only another request with the same ticket is a conflict.
+/// Guards against 409 for a proper request with a ticket: because the gate's target now serves
+/// another service, or because the gate was asked for a call that a lost connection kept from it,
+/// and voided the ticket. Only another request with the same ticket is a conflict.
 #[rstest]
 #[case::target_was_replaced(TicketCase { refusal: Refusal::WrongService, status: 503 })]
+#[case::voided_by_a_query(TicketCase { refusal: Refusal::Void, status: 503 })]
 #[case::another_request(TicketCase { refusal: Refusal::WrongRequest, status: 409 })]
 fn a_gate_that_cannot_run_a_ticket_does_not_make_the_request_wrong(#[case] case: TicketCase) {
     let mut entry = entry_with_gate();
