Answer 503 for a service whose only known document was rejected

Cause: daemons store nothing on disk and the platform has only the newest version, so the daemon has no usable version of the document. Its table has no route of the service, and a route that is not known was told as one that does not exist.

Now requests whose path begins with the name of such a service are refused as not ready, 503 with retry-after. Other unknown paths are 404 as before.

--- a/crates/core/src/documents.rs
+++ b/crates/core/src/documents.rs
@@ -115,6 +115,12 @@
             .filter(|(name, (version, _))| self.active_version(name) < *version)
     }
 
+    /// Services of which only rejected versions are known, so that nothing is known of their routes.
+    pub fn unusable(&self) -> impl Iterator<Item = &id::ServiceName> {
+        let names = self.rejected.keys();
+        names.filter(|name| !self.active.contains_key(*name))
+    }
+
     fn active_version(&self, name: &str) -> id::Version {
         self.active.get(name).map_or(0, |(version, _)| *version)
     }
--- a/crates/dev/tests/failures.rs
+++ b/crates/dev/tests/failures.rs
@@ -326,6 +326,34 @@
     });
 }
 
+/// Guards against 404 from a daemon that restarts beside a rejected document: it has no version of
+/// it and knows no routes of the service, which other daemons serve by the version before.
+#[test]
+fn a_daemon_without_a_usable_document_does_not_deny_the_routes_of_its_service() {
+    let mut deployment = Deployment::start(&two_service_plan(1, 0)).expect("deployment must start");
+    support::write_unchecked(&deployment, "board", "service: board\nroutes: []\n");
+    deployment
+        .wait_for_status("the rejection", |status| {
+            status["rejected"][0]["service"] == "board"
+        })
+        .expect("all daemons must report the rejection");
+    let host = &mut deployment.hosts[1];
+    let mut daemon = host.daemon.take().expect("daemon must be running");
+    daemon.kill().expect("daemon must be killed");
+    host.restart_daemon().expect("daemon must restart");
+    support::wait_until("the daemon knows the documents", || {
+        let status = daemon_status(&deployment, 1);
+        status["documents_confirmed"] == true && status["rejected"][0]["service"] == "board"
+    });
+    let status = |host: usize, path: &str| {
+        let address = deployment.hosts[host].addresses.public;
+        caller::call_blocking(address, &Call::new("GET", path, "r1")).status
+    };
+    assert_eq!(status(0, "/board/refresh"), 200);
+    assert_eq!(status(1, "/board/refresh"), 503);
+    assert_eq!(status(1, "/boards/refresh"), 404);
+}
+
 #[test]
 fn audit_trail_shows_author_and_versions() {
     let deployment = Deployment::start(&two_service_plan(1, 0)).expect("deployment must start");
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -42,6 +42,8 @@
     pub table: Option<Arc<table::Table>>,
     /// Newest version of a table that another daemon has announced, if it is newer than `table`.
     pub announced_table: id::Version,
+    /// Services whose documents this daemon cannot use, so that it does not know their routes.
+    pub unusable: BTreeSet<id::ServiceName>,
     /// Whether a planned stop has begun.
     pub is_stopping: bool,
 }
--- a/crates/router/src/fleet/activation.rs
+++ b/crates/router/src/fleet/activation.rs
@@ -13,6 +13,7 @@
         change: documents::Change,
         effects: &mut Vec<Effect>,
     ) {
+        self.record_unusable();
         match change {
             documents::Change::Activated { from, to, service } => {
                 info!(service:% = service.name, from, to; "document in force");
@@ -33,6 +34,12 @@
         }
     }
 
+    /// Tells the listeners of which services they know no routes.
+    fn record_unusable(&self) {
+        let unusable = self.documents.unusable().cloned().collect();
+        self.shared.update(|state| state.unusable = unusable);
+    }
+
     /// Compiles the active documents into a routing table and activates it.
     pub(super) fn compile_table(&mut self, effects: &mut Vec<Effect>) {
         let caller_limits = table::CallerLimits::default();
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -20,8 +20,15 @@
     let Some(table) = known.table.as_ref().filter(|_| known.is_confirmed) else {
         return LookupResult::NotReady;
     };
-    let Some(route) = table.find_route(&req.host, &req.method, req.path_without_query()) else {
-        return LookupResult::NoRoute(tables);
+    let path = req.path_without_query();
+    let Some(route) = table.find_route(&req.host, &req.method, path) else {
+        // The path begins with the name of the service.
+        let name = path.split('/').nth(1).unwrap_or_default();
+        return if known.unusable.contains(name) {
+            LookupResult::NotReady
+        } else {
+            LookupResult::NoRoute(tables)
+        };
     };
     let organisations = table.organisations.as_ref();
     let organisation = organisations.and_then(|o| o.holder_of(req.key?));
