Answer 503 for a route that is opened while a body arrives

Profile own: a caller got 403, "the route is closed to the public", for a request whose head had arrived before a document opened the route and whose body came after it, though every document in force by then allows it.

Cause: the listener looks the route up with the head, by the document of that moment; the router refused by that copy of the route's audience.

Now the router refuses with 403 only if the document in force closes the route as well; else with 503, and the next attempt is routed anew.

dev/tests/badinput, a_route_that_is_opened_while_a_body_arrives_is_not_ forbidden, failed before (403) and passes, with the other test there.

--- a/crates/dev/tests/badinput.rs
+++ b/crates/dev/tests/badinput.rs
@@ -5,9 +5,14 @@
 use std::io::{Read, Write};
 use std::net::{TcpStream, UdpSocket};
 use std::path::Path;
+use std::thread;
+use std::time::Duration;
 
 use pollenrouter_dev::deployment::{self, Deployment, Plan};
 
+/// Until a daemon has read a head that has been sent.
+const HEAD_READ_AFTER: Duration = Duration::from_millis(300);
+
 struct Case {
     name: &'static str,
     request: &'static str,
@@ -169,3 +174,26 @@
         "resident memory grew from {before} KiB to {after} KiB"
     );
 }
+
+/// Guards against 403 by a document that another one has replaced while the body arrived.
+#[test]
+fn a_route_that_is_opened_while_a_body_arrives_is_not_forbidden() {
+    let deployment =
+        Deployment::start(&support::two_service_plan(1, 0)).expect("deployment must start");
+    let mut stream =
+        TcpStream::connect(deployment.hosts[0].addresses.public).expect("daemon must accept");
+    let head = "GET /assignment/free-seats HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+        pollenrouter-deadline-ms: 30000\r\ncontent-length: 5\r\n\r\n";
+    stream
+        .write_all(head.as_bytes())
+        .expect("head must be sent");
+    // Until the daemon has looked the route up.
+    thread::sleep(HEAD_READ_AFTER);
+    support::apply_edited(&deployment, "assignment", "    audience: internal\n", "");
+    stream.write_all(b"press").expect("body must be sent");
+    let mut response = String::new();
+    stream
+        .read_to_string(&mut response)
+        .expect("response must arrive");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+}
--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -84,7 +84,14 @@
     // another service.
     let document = document.ok_or(Refusal::StaleDocument)?;
     if call.depth == 0 && call.route.policy.audience == service::Audience::Internal {
-        return Err(tables.verdict(Refusal::NotPublic));
+        // Another document may have opened the route since the head arrived.
+        let route = document.route_by_name(&call.route.name);
+        let is_internal = route.is_some_and(|r| r.audience == service::Audience::Internal);
+        return Err(if is_internal {
+            tables.verdict(Refusal::NotPublic)
+        } else {
+            Refusal::StaleDocument
+        });
     }
     // A service calls through the daemon on its own host, so `local_service` is the caller.
     if call.depth > 0 {
