--- a/crates/router/src/routes.rs
+++ b/crates/router/src/routes.rs
@@ -20,8 +20,15 @@
     let Some(table) = known.table.as_ref().filter(|_| known.is_confirmed) else {
         return LookupResult::NotReady;
     };
-    let Some(route) = table.find_route(&req.host, &req.method, req.path_without_query()) else {
-        return LookupResult::NoRoute(tables);
+    let path = req.path_without_query();
+    let Some(route) = table.find_route(&req.host, &req.method, path) else {
+        // The path begins with the name of the service.
+        let name = path.split('/').nth(1).unwrap_or_default();
+        return if known.unusable.contains(name) {
+            LookupResult::NotReady
+        } else {
+            LookupResult::NoRoute(tables)
+        };
     };
     let organisations = table.organisations.as_ref();
     let organisation = organisations.and_then(|o| o.holder_of(req.key?));
@@ -77,7 +84,14 @@
     // another service.
     let document = document.ok_or(Refusal::StaleDocument)?;
     if call.depth == 0 && call.route.policy.audience == service::Audience::Internal {
-        return Err(tables.verdict(Refusal::NotPublic));
+        // Another document may have opened the route since the head arrived.
+        let route = document.route_by_name(&call.route.name);
+        let is_internal = route.is_some_and(|r| r.audience == service::Audience::Internal);
+        return Err(if is_internal {
+            tables.verdict(Refusal::NotPublic)
+        } else {
+            Refusal::StaleDocument
+        });
     }
     // A service calls through the daemon on its own host, so `local_service` is the caller.
     if call.depth > 0 {
