Tell a change of version 0 from a whole value

After an unreadable configuration, which has version 0, a corrected one never reached hosts that fetch it: they kept the table before, or none.

Cause: 0 stood for "none" in requests and parts. A change of version 0 was decoded as the whole value, did not match, and was sent again in reply to the request for the whole, which looked the same. A large object of version 0 was never sent at all.

Versions and hashes that may be missing are options now.

--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -53,10 +53,10 @@
 pub struct Fetch {
     /// Key of the object.
     pub key: Key,
-    /// Version that the requester has, 0 for none.
-    pub held: id::Version,
-    /// Hash of that version's value, 0 to get the whole new value.
-    pub held_hash: u64,
+    /// Version that the requester has.
+    pub held: Option<id::Version>,
+    /// Hash of that version's value; `None` to get the whole new value.
+    pub held_hash: Option<u64>,
     /// The encoding that the requester has a part of; 0 for none.
     pub encoding: u64,
     /// Position of the part in the encoding, bytes.
@@ -70,8 +70,8 @@
     pub key: Key,
     /// Version of the object.
     pub version: id::Version,
-    /// Version that the encoding refers to, 0 for none.
-    pub base: id::Version,
+    /// Version that the encoding refers to; `None` for the whole value.
+    pub base: Option<id::Version>,
     /// Hash of the encoding.
     pub encoding: u64,
     /// Size of the encoding, bytes.
@@ -90,7 +90,7 @@
 #[derive(Debug, PartialEq, Eq, Hash)]
 pub(super) struct Encoding {
     version: id::Version,
-    base: id::Version,
+    base: Option<id::Version>,
     hash: u64,
     value_bytes: u64,
     value_hash: u64,
--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -13,10 +13,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Request {
     host: id::HostName,
-    /// Version that this daemon has, 0 for none.
-    held: id::Version,
-    /// Hash of its value, 0 to get the whole new one.
-    held_hash: u64,
+    /// Version that this daemon has.
+    held: Option<id::Version>,
+    /// Hash of its value; `None` to get the whole new one.
+    held_hash: Option<u64>,
     /// Hash of the encoding that `received` is the beginning of; 0 before the first part.
     encoding: u64,
     received: Vec<u8>,
@@ -137,8 +137,8 @@
             let base = held.filter(|_| !download.needs_whole);
             download.request = Some(Request {
                 host: host.clone(),
-                held: held.map_or(0, |(version, _)| version),
-                held_hash: base.map_or(0, |(_, value)| delta::hash(value.as_bytes())),
+                held: held.map(|(version, _)| version),
+                held_hash: base.map(|(_, value)| delta::hash(value.as_bytes())),
                 encoding: 0,
                 received: Vec::new(),
                 waiting: 0,
@@ -187,8 +187,8 @@
         let received = std::mem::take(&mut request.received);
         download.request = None;
         let base = match part.base {
-            0 => Some(""),
-            version => base(version).map(SmolStr::as_str),
+            None => Some(""),
+            Some(version) => base(version).map(SmolStr::as_str),
         };
         let decoded = base
             .ok_or(DecodeError::Mismatch)
--- a/crates/core/src/membership/transfers/uploads.rs
+++ b/crates/core/src/membership/transfers/uploads.rs
@@ -89,7 +89,7 @@
             is_busy,
         };
         let object = replica.get(&fetch.key);
-        let Some(object) = object.filter(|object| object.version > fetch.held) else {
+        let Some(object) = object.filter(|object| Some(object.version) > fetch.held) else {
             return unavailable(false);
         };
         let others = self.by_host.iter().filter(|(other, _)| *other != host);
@@ -144,9 +144,9 @@
     /// The value as a change of what the host has, if that is known here, else the whole value.
     fn encoding(&mut self, object: &Object, fetch: &Fetch) -> Option<SharedEncoding> {
         let earlier = self.earlier.get(&object.key).into_iter().flatten();
-        let mut earlier = earlier.filter(|earlier| earlier.version == fetch.held);
-        let base = earlier.find(|earlier| earlier.hash == fetch.held_hash);
-        let base_version = base.map_or(0, |base| base.version);
+        let mut earlier = earlier.filter(|earlier| Some(earlier.version) == fetch.held);
+        let base = earlier.find(|earlier| Some(earlier.hash) == fetch.held_hash);
+        let base_version = base.map(|base| base.version);
         let encodings = self.encodings.entry(object.key.clone()).or_default();
         let is_known =
             |known: &&SharedEncoding| known.base == base_version && known.version == object.version;
--- a/crates/core/tests/transfers/bounds.rs
+++ b/crates/core/tests/transfers/bounds.rs
@@ -15,8 +15,8 @@
 fn fetch(network: &mut Network, from: &str, held: u64, held_hash: u64) -> Transfer {
     let fetch = Fetch {
         key: KEY.into(),
-        held,
-        held_hash,
+        held: Some(held),
+        held_hash: Some(held_hash),
         encoding: 0,
         offset: 0,
     };
@@ -106,8 +106,8 @@
             other => panic!("{other:?}"),
         }
     };
-    assert_eq!(base(&mut network, EARLIER_MAX), 24 - EARLIER_MAX);
-    assert_eq!(base(&mut network, EARLIER_MAX + 1), 0);
+    assert_eq!(base(&mut network, EARLIER_MAX), Some(24 - EARLIER_MAX));
+    assert_eq!(base(&mut network, EARLIER_MAX + 1), None);
 }
 
 /// Size of what a daemon holds, as it is printed; shared parts count each time.
--- a/crates/core/tests/transfers/parts.rs
+++ b/crates/core/tests/transfers/parts.rs
@@ -65,7 +65,7 @@
 /// The receiver never had that version.
 const UNKNOWN_BASE: Case = Case {
     tamper: |part, _| {
-        part.base = 77;
+        part.base = Some(77);
         Fate::Deliver
     },
     applies_to: 0..9,
@@ -113,7 +113,7 @@
             return Fate::Deliver;
         };
         seen += 1;
-        if case.applies_to.contains(&(seen - 1)) && part.base != 0 {
+        if case.applies_to.contains(&(seen - 1)) && part.base.is_some() {
             (case.tamper)(part, seen)
         } else {
             Fate::Deliver
@@ -159,15 +159,13 @@
     network.publish(&host(0), KEY);
     let held = |held_hash| Fetch {
         key: KEY.into(),
-        held: 1,
+        held: Some(1),
         held_hash,
         encoding: 0,
         offset: 0,
     };
-    let bases: Vec<u64> = [0, 1]
-        .map(|hash| first_part(&mut network, held(hash)).base)
-        .into();
-    assert_eq!(bases, [0, 0]);
+    let bases = [None, Some(1)].map(|hash| first_part(&mut network, held(hash)).base);
+    assert_eq!(bases, [None, None]);
 }
 
 fn first_part(network: &mut Network, fetch: Fetch) -> Part {
@@ -191,7 +189,7 @@
     let mut wholes = 0;
     network.run(RECOVERY_FLUSHES, |envelope: &mut Envelope| {
         if let Some(Transfer::Part(part)) = envelope.transfer() {
-            if part.base == 0 {
+            if part.base.is_none() {
                 wholes += 1;
             } else {
                 part.value_hash ^= 1;
@@ -245,7 +243,7 @@
     let mut wholes = 0;
     while wholes < 2 {
         network.run(1, |envelope| match envelope.transfer() {
-            Some(Transfer::Part(part)) if part.base != 0 => {
+            Some(Transfer::Part(part)) if part.base.is_some() => {
                 part.value_hash ^= 1;
                 Fate::Deliver
             }
@@ -269,7 +267,7 @@
     });
     let had = &network.versions[&(host(1), KEY.into())];
     assert_eq!(*had, [1, 2, 3]);
-    assert!(bases.iter().all(|base| *base == 2), "{bases:?}");
+    assert!(bases.iter().all(|base| *base == Some(2)), "{bases:?}");
 }
 
 /// Guards against a change of a version that the receiver never had, with the same text.
@@ -283,12 +281,12 @@
     network.publish(&host(0), KEY);
     let fetch = Fetch {
         key: KEY.into(),
-        held: again,
-        held_hash: delta::hash(first.value.as_bytes()),
+        held: Some(again),
+        held_hash: Some(delta::hash(first.value.as_bytes())),
         encoding: 0,
         offset: 0,
     };
-    assert_eq!(first_part(&mut network, fetch).base, again);
+    assert_eq!(first_part(&mut network, fetch).base, Some(again));
 }
 
 /// Guards against two large values that a host fetches from the same one at the same time, and of
