Do not count undelivered transfers as missed rounds

A host that was out of reach for six seconds could be reported as gone and be marked as having left at the platform, in place of 30 s.

Cause: each undelivered request for a part counted as a round in which the successor was not reached, and a host that is out of reach is asked again within tenths of a second.

Messages about large values have an event of their own when they are not delivered, which only makes the next host be asked; and what a host sends of them shows that it is there. core/tests/transfer_limits requests_for_a_value_ do_not_count_as_missed_rounds failed before (reported after 6.2 s) and passes. The network of core/tests/transfers reports undelivered transfers by the new event, as the daemon does.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -99,8 +99,13 @@
             Input::Read(objects, draw) => self.merge(objects, draw, &mut out),
             Input::Received(host, message, draw) => self.received(host, message, draw, &mut out),
             Input::TransferReceived(host, transfer, draw) => {
+                self.missed_rounds.remove(&host);
                 self.transfer_received(&host, transfer, draw, &mut out);
             }
+            Input::TransferUndelivered(host) => {
+                self.downloads.unreachable(&host);
+                self.request_parts(&mut out);
+            }
             Input::Unreachable(host) => self.unreachable(&host, &mut out),
             Input::Members(members) => self.set_members(members),
             Input::Round(draw) => self.round(draw, &mut out),
@@ -343,8 +348,6 @@
 
     fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
         self.asked.remove(host);
-        self.downloads.unreachable(host);
-        self.request_parts(out);
         // The peers that pass updates on to this daemon may be out of its reach as well, while a
         // watcher is not.
         if let Some(watcher) = self.duty.watcher_to_ask() {
--- a/crates/core/src/membership/event.rs
+++ b/crates/core/src/membership/event.rs
@@ -26,7 +26,9 @@
     Received(id::HostName, Message, u64),
     /// A message about a large value from another daemon, with a random number.
     TransferReceived(id::HostName, Transfer, u64),
-    /// A message to a daemon was not delivered.
+    /// A message about a large value was not delivered to a daemon.
+    TransferUndelivered(id::HostName),
+    /// Another message to a daemon was not delivered.
     Unreachable(id::HostName),
     /// The members that have not left.
     Members(Vec<Member>),
--- a/crates/core/tests/transfer_limits.rs
+++ b/crates/core/tests/transfer_limits.rs
@@ -1,19 +1,22 @@
 //! Transfers of large values at their limits: full links, slow paths, unreachable hosts, version 0.
 
-use pollenrouter_core::membership::{Input, Member, Membership, Output, Transfer};
+use pollenrouter_core::membership::{
+    FLUSH_INTERVAL, Input, Member, Membership, Output, ROUND_INTERVAL, Transfer,
+};
 use pollenrouter_core::replica::Object;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
 
 const KEY: &str = "tables/main";
+const LINE_BYTES: usize = 17;
+/// Rounds after which an unreachable successor may be reported.
+const REPORT_AFTER: u32 = 30;
 
 fn text(bytes: usize, seed: u64) -> String {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut text = String::new();
-    while text.len() < bytes {
-        text += &format!("{:016x}\n", rng.random::<u64>());
-    }
-    text
+    let lines = (0..bytes / LINE_BYTES).map(|_| format!("{:016x}\n", rng.random::<u64>()));
+    lines.collect()
 }
 
 fn object(version: u64, value: &str) -> Object {
@@ -36,6 +39,56 @@
     daemon
 }
 
+/// Guards against a host that is reported as gone long before it has missed the rounds, because
+/// each request of a transfer in vain counts as one.
+#[test]
+fn requests_for_a_value_do_not_count_as_missed_rounds() {
+    const CONNECT_TIMEOUT_FLUSHES: u32 = 10;
+    let mut own = daemon("host-0", 9);
+    let round = own.step(Input::Round(0));
+    let Some(Output::Send(successor, _)) = round.first().cloned() else {
+        panic!("{round:?}");
+    };
+    let announce = Transfer::Announce(BTreeMap::from([(KEY.into(), 1)]));
+    let mut failing = Vec::new();
+    let record = |out: Vec<Output>, now: u32, failing: &mut Vec<(u32, Input)>| {
+        for output in out {
+            let input = match output {
+                Output::SendTransfer(to, _) => Input::TransferUndelivered(to),
+                Output::Send(to, _) => Input::Unreachable(to),
+                Output::Report(member) => {
+                    let after = FLUSH_INTERVAL * now;
+                    assert!(
+                        after >= ROUND_INTERVAL * (REPORT_AFTER - 1),
+                        "{} reported as gone after {after:?}",
+                        member.host
+                    );
+                    continue;
+                }
+                _ => continue,
+            };
+            if matches!(&input, Input::TransferUndelivered(to) | Input::Unreachable(to) if *to == successor)
+            {
+                failing.push((now + CONNECT_TIMEOUT_FLUSHES, input));
+            }
+        }
+    };
+    let out = own.step(Input::TransferReceived(successor.clone(), announce, 0));
+    record(out, 0, &mut failing);
+    for now in 1..2000 {
+        if now % 40 == 0 {
+            record(own.step(Input::Round(0)), now, &mut failing);
+        }
+        let (due, later) = failing.into_iter().partition(|(at, _)| *at <= now);
+        failing = later;
+        let due: Vec<(u32, Input)> = due;
+        for (_, input) in due {
+            record(own.step(input), now, &mut failing);
+        }
+        record(own.step(Input::Flush(0)), now, &mut failing);
+    }
+}
+
 /// Guards against a value that no host can fetch, because a change of version 0, which unreadable
 /// configurations have, is taken for the whole value.
 #[test]
--- a/crates/core/tests/transfers/network.rs
+++ b/crates/core/tests/transfers/network.rs
@@ -251,7 +251,13 @@
         match decide(&mut envelope) {
             Fate::Deliver => self.step(&envelope.to, envelope.input),
             Fate::Lose => {}
-            Fate::Fail => self.step(&envelope.from, Input::Unreachable(envelope.to)),
+            Fate::Fail => {
+                let failure = match envelope.input {
+                    Input::TransferReceived(..) => Input::TransferUndelivered,
+                    _ => Input::Unreachable,
+                };
+                self.step(&envelope.from, failure(envelope.to));
+            }
             Fate::Delay(steps) => self.post(steps, envelope),
             Fate::Repeat(steps) => {
                 self.post(steps, envelope.clone());
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -136,20 +136,27 @@
                 }
                 Command::Gossip(peer, gossip) => {
                     let head = NotificationHead::Gossip(gossip);
-                    client.deliver(peer, &head).await;
+                    client.deliver(peer, &head, Event::Unreachable).await;
                 }
                 Command::Transfer(peer, transfer) => {
                     let head = NotificationHead::Transfer(transfer);
-                    client.deliver(peer, &head).await;
+                    client
+                        .deliver(peer, &head, Event::TransferUndelivered)
+                        .await;
                 }
             }
         });
     }
 
     /// Sends a message without a reply, and reports a failure.
-    async fn deliver(&self, peer: Peer, head: &NotificationHead) {
+    async fn deliver(
+        &self,
+        peer: Peer,
+        head: &NotificationHead,
+        failure: impl FnOnce(id::HostName) -> Event,
+    ) {
         if self.notify(&peer, head).await.is_err() {
-            (self.sink)(Event::Unreachable(peer.host));
+            (self.sink)(failure(peer.host));
         }
     }
 
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -126,6 +126,8 @@
     ConnectionLost(id::HostName, id::CallId, entry::Sent),
     /// A daemon has received these objects.
     Replicated(id::HostName, Vec<replica::Object>),
+    /// A daemon did not receive a message about a large object.
+    TransferUndelivered(id::HostName),
     /// A daemon did not receive a gossip message.
     Unreachable(id::HostName),
     /// A daemon received a probe.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -206,6 +206,9 @@
             daemon::Event::Unreachable(host) => {
                 self.step_fleet(membership::Input::Unreachable(host));
             }
+            daemon::Event::TransferUndelivered(host) => {
+                self.step_fleet(membership::Input::TransferUndelivered(host));
+            }
             daemon::Event::GossipReceived(gossip) => {
                 self.quotas.on_heard(self.calls.now());
                 let effects = self.fleet.on_gossip(gossip);
