--- a/crates/core/tests/transfers/parts.rs
+++ b/crates/core/tests/transfers/parts.rs
@@ -235,6 +235,20 @@
     assert_eq!(network.sent[&host(1)].first_fetches, 1);
 }
 
+/// Guards against a transfer that begins again and again over a slow link, although parts arrive.
+#[test]
+fn a_transfer_that_is_slow_is_not_given_up() {
+    let mut network = Network::new(2, 1, 22);
+    network.publish(&host(0), KEY);
+    let mut delayed = BTreeSet::new();
+    network.run(RECOVERY_FLUSHES, |envelope| match envelope.transfer() {
+        Some(Transfer::Part(part)) if delayed.insert(part.offset) => Fate::Delay(8 * FLUSH_STEPS),
+        _ => Fate::Deliver,
+    });
+    assert_eq!(network.held(&host(1), KEY), 1);
+    assert_eq!(network.sent[&host(1)].first_fetches, 1);
+}
+
 /// Guards against changes that are sent whole for good once one of them did not lead to the value.
 #[test]
 fn the_next_version_is_sent_as_a_change_again() {
