Bound what a daemon sends to hosts that begin to fetch

A watcher that announces a change to its whole failure domain could fill its link for longer than the check of silence.

Cause: transfers that take one part were complete as soon as the part was sent, and did not count among the eight that a daemon serves at a time.

--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -22,9 +22,14 @@
 pub const LARGE_VALUE_BYTES: usize = 32 << 10;
 /// Maximum size of a part, bytes. It occupies a link of 10 Mbit/s for 13 ms.
 pub const PART_BYTES: usize = 16 << 10;
-/// Values that this many daemons fetch at the same time still leave gaps on a link of 10 Mbit/s
-/// that are shorter than the check of silence, which is 400 ms.
+/// Number of daemons that fetch from one at the same time. Their parts occupy a link of 10 Mbit/s
+/// for 105 ms, less than the check of silence, which is 400 ms.
 const UPLOADS_MAX: usize = 8;
+/// Bytes in each flush interval within which further daemons may begin to fetch: what a link of
+/// 10 Mbit/s carries in it.
+const UPLOAD_BYTES: usize = 32 << 10;
+/// Maximum number of such bytes that are left over from quiet intervals.
+const UPLOAD_BYTES_MAX: usize = UPLOADS_MAX * PART_BYTES;
 /// Flush intervals without a part after which another host is asked, 500 ms.
 const PATIENCE_FLUSHES: u32 = 20;
 /// Flush intervals until hosts that have a value are asked again after all were asked in vain, 100 ms.
--- a/crates/core/src/membership/transfers/uploads.rs
+++ b/crates/core/src/membership/transfers/uploads.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::{Encoding, Fetch, PART_BYTES, PATIENCE_FLUSHES, Part, SharedEncoding, UPLOADS_MAX};
-use super::{LARGE_VALUE_BYTES, Transfer};
+use super::{LARGE_VALUE_BYTES, Transfer, UPLOAD_BYTES, UPLOAD_BYTES_MAX};
 use crate::delta;
 use crate::id;
 use crate::replica::{Key, Object, Replica};
@@ -35,14 +35,27 @@
 }
 
 /// What other daemons fetch from this one.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(in crate::membership) struct Uploads {
+    /// Bytes that may still be sent to daemons that begin to fetch.
+    allowance: usize,
     earlier: BTreeMap<Key, VecDeque<Earlier>>,
     encodings: BTreeMap<Key, Vec<SharedEncoding>>,
     /// By the host that fetches.
     by_host: BTreeMap<id::HostName, Upload>,
 }
 
+impl Default for Uploads {
+    fn default() -> Self {
+        Self {
+            allowance: UPLOAD_BYTES_MAX,
+            earlier: BTreeMap::new(),
+            encodings: BTreeMap::new(),
+            by_host: BTreeMap::new(),
+        }
+    }
+}
+
 impl Uploads {
     /// Keeps the value that a newer version of an object replaces.
     pub fn on_replaced(&mut self, replaced: &Object) {
@@ -93,7 +106,8 @@
             return unavailable(false);
         };
         let others = self.by_host.iter().filter(|(other, _)| *other != host);
-        if others.filter(|(_, upload)| !upload.is_complete).count() >= UPLOADS_MAX {
+        let unfinished = others.filter(|(_, upload)| !upload.is_complete);
+        if unfinished.count() >= UPLOADS_MAX || self.allowance == 0 {
             return unavailable(true);
         }
         let Some(encoding) = self.encoding(object, fetch) else {
@@ -110,6 +124,7 @@
 
     /// Forgets the uploads of hosts that have stopped asking.
     pub fn flush(&mut self) {
+        self.allowance = (self.allowance + UPLOAD_BYTES).min(UPLOAD_BYTES_MAX);
         for upload in self.by_host.values_mut() {
             upload.idle_flushes += 1;
         }
@@ -121,6 +136,7 @@
         let len = encoding.bytes.len();
         let begin = usize::try_from(fetch.offset).unwrap_or(len).min(len);
         let end = (begin + PART_BYTES).min(len);
+        self.allowance = self.allowance.saturating_sub(end - begin);
         let upload = Upload {
             key: fetch.key.clone(),
             encoding: encoding.clone(),
--- a/crates/core/tests/transfer_limits.rs
+++ b/crates/core/tests/transfer_limits.rs
@@ -1,15 +1,22 @@
 //! Transfers of large values at their limits: full links, slow paths, unreachable hosts, version 0.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pollenrouter_core::delta;
 use pollenrouter_core::membership::{
-    FLUSH_INTERVAL, Input, Member, Membership, Output, ROUND_INTERVAL, Transfer,
+    FLUSH_INTERVAL, Fetch, Input, Member, Membership, Output, ROUND_INTERVAL, Transfer,
 };
 use pollenrouter_core::replica::Object;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::BTreeMap;
 
 const KEY: &str = "tables/main";
 const LINE_BYTES: usize = 17;
+/// Rate of a slow link, bytes a second.
+const LINK_RATE: u32 = 10_000_000 / 8;
+/// Time after which a connection counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(400);
 /// Rounds after which an unreachable successor may be reported.
 const REPORT_AFTER: u32 = 30;
 
@@ -39,6 +46,37 @@
     daemon
 }
 
+/// Guards against links that are full for longer than the check of silence, because transfers of
+/// one part do not count as uploads.
+#[test]
+fn changes_of_one_part_do_not_fill_a_link() {
+    let (base, added) = (text(200 << 10, 1), text(24 << 10, 2));
+    let mut source = daemon("host-0", 80);
+    source.step(Input::Read(vec![object(1, &base)], 0));
+    source.step(Input::Read(vec![object(2, &format!("{base}{added}"))], 0));
+    let fetch = Fetch {
+        key: KEY.into(),
+        held: Some(1),
+        held_hash: Some(delta::hash(base.as_bytes())),
+        encoding: 0,
+        offset: 0,
+    };
+    let mut sent = 0;
+    for n in 1..80 {
+        let host = format!("host-{n}").as_str().into();
+        let input = Input::TransferReceived(host, Transfer::Fetch(fetch.clone()), 0);
+        for output in source.step(input) {
+            if let Output::SendTransfer(_, Transfer::Part(part)) = output {
+                assert_eq!(part.bytes.len() as u64, part.encoded_bytes, "one part");
+                sent += part.bytes.len();
+            }
+        }
+    }
+    let sent = u32::try_from(sent).expect("few bytes must be sent");
+    let occupied = Duration::from_secs(1) * sent / LINK_RATE;
+    assert!(occupied < SILENT_AFTER, "{sent} bytes for {occupied:?}");
+}
+
 /// Guards against transfers that never end where a request takes longer than the patience, though
 /// no message is lost.
 #[test]
