--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -99,13 +99,9 @@
             Input::Read(objects, draw) => self.merge(objects, draw, &mut out),
             Input::Received(host, message, draw) => self.received(host, message, draw, &mut out),
             Input::TransferReceived(host, transfer, draw) => {
-                self.missed_rounds.remove(&host);
                 self.transfer_received(&host, transfer, draw, &mut out);
             }
-            Input::TransferUndelivered(host) => {
-                self.downloads.unreachable(&host);
-                self.request_parts(&mut out);
-            }
+            Input::TransferUndelivered(host) => self.transfer_undelivered(&host, &mut out),
             Input::Unreachable(host) => self.unreachable(&host, &mut out),
             Input::Members(members) => self.set_members(members),
             Input::Round(draw) => self.round(draw, &mut out),
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -17,7 +17,7 @@
     /// Objects that may be new to the receiver.
     pub objects: Vec<Object>,
     /// Whether `objects` contains everything that the receiver lacked when it sent its
-    /// request.
+    /// request, but large values, which are announced.
     pub is_complete: bool,
 }
 
--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -137,6 +137,7 @@
         draw: u64,
         out: &mut Vec<Output>,
     ) {
+        self.missed_rounds.remove(host);
         match transfer {
             Transfer::Announce(versions) => {
                 self.announcements.record(&versions, &self.replica);
@@ -159,6 +160,11 @@
         self.request_parts(out);
     }
 
+    pub(super) fn transfer_undelivered(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
+        self.downloads.unreachable(host);
+        self.request_parts(out);
+    }
+
     pub(super) fn flush_transfers(&mut self, out: &mut Vec<Output>) {
         self.uploads.flush();
         self.downloads.flush();
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -59,6 +59,9 @@
     was_silent: bool,
 }
 
+/// The event for a message that was not delivered to a host.
+type Failure = fn(id::HostName) -> Event;
+
 type SharedPeerState = Rc<Mutex<PeerState>>;
 
 /// Client with at most one connection to each other daemon.
@@ -103,9 +106,8 @@
                 }
                 Command::Query(peer, query) => client.send_query(peer, query).await,
                 Command::Withdraw(peer, query) => {
-                    let _ = client
-                        .notify(&peer, &NotificationHead::Withdraw(query))
-                        .await;
+                    let head = NotificationHead::Withdraw(query);
+                    let _ = client.notify(&peer, &head).await;
                 }
                 Command::Heartbeat(peer, gossip) => {
                     // The next one follows soon.
@@ -120,9 +122,8 @@
                 Command::Ask(peer, from, ask) => client.send_ask(peer, from, ask).await,
                 Command::Grant(peer, from, grant) => {
                     // The entry asks the next holder after a time-out.
-                    let _ = client
-                        .notify(&peer, &NotificationHead::Grant(from, grant))
-                        .await;
+                    let head = NotificationHead::Grant(from, grant);
+                    let _ = client.notify(&peer, &head).await;
                 }
                 Command::Replicate(peer, gossip) => {
                     let objects = gossip.objects.clone();
@@ -140,21 +141,15 @@
                 }
                 Command::Transfer(peer, transfer) => {
                     let head = NotificationHead::Transfer(transfer);
-                    client
-                        .deliver(peer, &head, Event::TransferUndelivered)
-                        .await;
+                    let failure = Event::TransferUndelivered;
+                    client.deliver(peer, &head, failure).await;
                 }
             }
         });
     }
 
     /// Sends a message without a reply, and reports a failure.
-    async fn deliver(
-        &self,
-        peer: Peer,
-        head: &NotificationHead,
-        failure: impl FnOnce(id::HostName) -> Event,
-    ) {
+    async fn deliver(&self, peer: Peer, head: &NotificationHead, failure: Failure) {
         if self.notify(&peer, head).await.is_err() {
             (self.sink)(failure(peer.host));
         }
