--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -101,6 +101,7 @@
             Input::TransferReceived(host, transfer, draw) => {
                 self.transfer_received(&host, transfer, draw, &mut out);
             }
+            Input::TransferUndelivered(host) => self.transfer_undelivered(&host, &mut out),
             Input::Unreachable(host) => self.unreachable(&host, &mut out),
             Input::Members(members) => self.set_members(members),
             Input::Round(draw) => self.round(draw, &mut out),
@@ -343,8 +344,6 @@
 
     fn unreachable(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
         self.asked.remove(host);
-        self.downloads.unreachable(host);
-        self.request_parts(out);
         // The peers that pass updates on to this daemon may be out of its reach as well, while a
         // watcher is not.
         if let Some(watcher) = self.duty.watcher_to_ask() {
--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -22,9 +22,14 @@
 pub const LARGE_VALUE_BYTES: usize = 32 << 10;
 /// Maximum size of a part, bytes. It occupies a link of 10 Mbit/s for 13 ms.
 pub const PART_BYTES: usize = 16 << 10;
-/// Values that this many daemons fetch at the same time still leave gaps on a link of 10 Mbit/s
-/// that are shorter than the check of silence, which is 400 ms.
+/// Number of daemons that fetch from one at the same time. Their parts occupy a link of 10 Mbit/s
+/// for 105 ms, less than the check of silence, which is 400 ms.
 const UPLOADS_MAX: usize = 8;
+/// Bytes in each flush interval within which further daemons may begin to fetch: what a link of
+/// 10 Mbit/s carries in it.
+const UPLOAD_BYTES: usize = 32 << 10;
+/// Maximum number of such bytes that are left over from quiet intervals.
+const UPLOAD_BYTES_MAX: usize = UPLOADS_MAX * PART_BYTES;
 /// Flush intervals without a part after which another host is asked, 500 ms.
 const PATIENCE_FLUSHES: u32 = 20;
 /// Flush intervals until hosts that have a value are asked again after all were asked in vain, 100 ms.
@@ -53,10 +58,10 @@
 pub struct Fetch {
     /// Key of the object.
     pub key: Key,
-    /// Version that the requester has, 0 for none.
-    pub held: id::Version,
-    /// Hash of that version's value, 0 to get the whole new value.
-    pub held_hash: u64,
+    /// Version that the requester has.
+    pub held: Option<id::Version>,
+    /// Hash of that version's value; `None` to get the whole new value.
+    pub held_hash: Option<u64>,
     /// The encoding that the requester has a part of; 0 for none.
     pub encoding: u64,
     /// Position of the part in the encoding, bytes.
@@ -70,8 +75,8 @@
     pub key: Key,
     /// Version of the object.
     pub version: id::Version,
-    /// Version that the encoding refers to, 0 for none.
-    pub base: id::Version,
+    /// Version that the encoding refers to; `None` for the whole value.
+    pub base: Option<id::Version>,
     /// Hash of the encoding.
     pub encoding: u64,
     /// Size of the encoding, bytes.
@@ -90,7 +95,7 @@
 #[derive(Debug, PartialEq, Eq, Hash)]
 pub(super) struct Encoding {
     version: id::Version,
-    base: id::Version,
+    base: Option<id::Version>,
     hash: u64,
     value_bytes: u64,
     value_hash: u64,
@@ -132,6 +137,7 @@
         draw: u64,
         out: &mut Vec<Output>,
     ) {
+        self.missed_rounds.remove(host);
         match transfer {
             Transfer::Announce(versions) => {
                 self.announcements.record(&versions, &self.replica);
@@ -154,6 +160,11 @@
         self.request_parts(out);
     }
 
+    pub(super) fn transfer_undelivered(&mut self, host: &id::HostName, out: &mut Vec<Output>) {
+        self.downloads.unreachable(host);
+        self.request_parts(out);
+    }
+
     pub(super) fn flush_transfers(&mut self, out: &mut Vec<Output>) {
         self.uploads.flush();
         self.downloads.flush();
--- a/crates/core/src/membership/transfers/uploads.rs
+++ b/crates/core/src/membership/transfers/uploads.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::{Encoding, Fetch, PART_BYTES, PATIENCE_FLUSHES, Part, SharedEncoding, UPLOADS_MAX};
-use super::{LARGE_VALUE_BYTES, Transfer};
+use super::{LARGE_VALUE_BYTES, Transfer, UPLOAD_BYTES, UPLOAD_BYTES_MAX};
 use crate::delta;
 use crate::id;
 use crate::replica::{Key, Object, Replica};
@@ -35,14 +35,27 @@
 }
 
 /// What other daemons fetch from this one.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(in crate::membership) struct Uploads {
+    /// Bytes that may still be sent to daemons that begin to fetch.
+    allowance: usize,
     earlier: BTreeMap<Key, VecDeque<Earlier>>,
     encodings: BTreeMap<Key, Vec<SharedEncoding>>,
     /// By the host that fetches.
     by_host: BTreeMap<id::HostName, Upload>,
 }
 
+impl Default for Uploads {
+    fn default() -> Self {
+        Self {
+            allowance: UPLOAD_BYTES_MAX,
+            earlier: BTreeMap::new(),
+            encodings: BTreeMap::new(),
+            by_host: BTreeMap::new(),
+        }
+    }
+}
+
 impl Uploads {
     /// Keeps the value that a newer version of an object replaces.
     pub fn on_replaced(&mut self, replaced: &Object) {
@@ -89,11 +102,12 @@
             is_busy,
         };
         let object = replica.get(&fetch.key);
-        let Some(object) = object.filter(|object| object.version > fetch.held) else {
+        let Some(object) = object.filter(|object| Some(object.version) > fetch.held) else {
             return unavailable(false);
         };
         let others = self.by_host.iter().filter(|(other, _)| *other != host);
-        if others.filter(|(_, upload)| !upload.is_complete).count() >= UPLOADS_MAX {
+        let unfinished = others.filter(|(_, upload)| !upload.is_complete);
+        if unfinished.count() >= UPLOADS_MAX || self.allowance == 0 {
             return unavailable(true);
         }
         let Some(encoding) = self.encoding(object, fetch) else {
@@ -110,6 +124,7 @@
 
     /// Forgets the uploads of hosts that have stopped asking.
     pub fn flush(&mut self) {
+        self.allowance = (self.allowance + UPLOAD_BYTES).min(UPLOAD_BYTES_MAX);
         for upload in self.by_host.values_mut() {
             upload.idle_flushes += 1;
         }
@@ -121,6 +136,7 @@
         let len = encoding.bytes.len();
         let begin = usize::try_from(fetch.offset).unwrap_or(len).min(len);
         let end = (begin + PART_BYTES).min(len);
+        self.allowance = self.allowance.saturating_sub(end - begin);
         let upload = Upload {
             key: fetch.key.clone(),
             encoding: encoding.clone(),
@@ -144,9 +160,9 @@
     /// The value as a change of what the host has, if that is known here, else the whole value.
     fn encoding(&mut self, object: &Object, fetch: &Fetch) -> Option<SharedEncoding> {
         let earlier = self.earlier.get(&object.key).into_iter().flatten();
-        let mut earlier = earlier.filter(|earlier| earlier.version == fetch.held);
-        let base = earlier.find(|earlier| earlier.hash == fetch.held_hash);
-        let base_version = base.map_or(0, |base| base.version);
+        let mut earlier = earlier.filter(|earlier| Some(earlier.version) == fetch.held);
+        let base = earlier.find(|earlier| Some(earlier.hash) == fetch.held_hash);
+        let base_version = base.map(|base| base.version);
         let encodings = self.encodings.entry(object.key.clone()).or_default();
         let is_known =
             |known: &&SharedEncoding| known.base == base_version && known.version == object.version;
