Show how long bodies and answers wait for memory

The metrics counted the shares that wait and the parties that gave way. They told neither how long a share waits nor whether answers of the target, which hold a slot each, wait for room or for their turn to be read, so that the hypotheses on callers left behind could not be told apart.

New: pollenrouter_memory_longest_wait_seconds and pollenrouter_memory_waited_seconds_total by class, and pollenrouter_memory_queued. No change of what gives way or when.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -6,7 +6,7 @@
 //! budget. In each class the share that has waited longest may exceed the budget if no other share
 //! of the class does: one request and one answer always have room, however small the budget.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time for which shares wait before a party has to give way for them. Longer than the
@@ -75,8 +75,10 @@
     bytes: u64,
     /// Share that exceeds the budget.
     exceeding: Option<Id>,
-    /// Shares that wait for room.
-    waiting: BTreeSet<Id>,
+    /// Shares that wait for room, and since when.
+    waiting: BTreeMap<Id, Duration>,
+    /// Time for which shares have waited that do not any more.
+    waited: Duration,
     /// Since when the class has been short, and when a share last waited. A class for which no
     /// share waits is short until [`WAIT_MAX`] later, since the next one may follow at once.
     short: Option<(Duration, Duration)>,
@@ -89,6 +91,15 @@
     refused: u64,
 }
 
+impl Usage {
+    /// Ends the wait of a share; returns whether it waited.
+    fn end_wait(&mut self, now: Duration, id: Id) -> bool {
+        let since = self.waiting.remove(&id);
+        self.waited += since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        since.is_some()
+    }
+}
+
 /// Somebody at the other side of a connection that sends or takes the bytes of a share, and gives
 /// way if it is too slow.
 #[derive(Clone, Debug)]
@@ -137,6 +148,10 @@
     pub used: [u64; 2],
     /// Shares that wait for room.
     pub waiting: [usize; 2],
+    /// How long the share has waited that has waited longest.
+    pub longest_wait: [Duration; 2],
+    /// Time for which all shares have waited since the start.
+    pub waited: [Duration; 2],
     /// Parties that gave way since the start.
     pub refused: [u64; 2],
 }
@@ -189,11 +204,11 @@
     pub fn take(&mut self, now: Duration, class: Class, id: Id, bytes: u64) -> bool {
         let fits = self.fits(class, bytes);
         let usage = &mut self.usage[class.index()];
-        let is_first = usage.waiting.first().is_none_or(|first| id <= *first);
+        let is_first = usage.waiting.keys().next().is_none_or(|first| id <= *first);
         let may_exceed = usage.exceeding.is_none_or(|exceeding| exceeding == id);
         // The one that exceeds the budget does not wait for others, since those wait for it.
         if usage.exceeding == Some(id) || is_first && (fits || may_exceed) {
-            if usage.waiting.remove(&id) {
+            if usage.end_wait(now, id) {
                 usage.moved_at = now;
             }
             usage.bytes += bytes;
@@ -206,7 +221,7 @@
         if usage.waiting.is_empty() {
             usage.moved_at = now;
         }
-        usage.waiting.insert(id);
+        usage.waiting.entry(id).or_insert(now);
         let since = match usage.short {
             Some((since, latest)) if now <= latest + WAIT_MAX => since,
             _ => now,
@@ -237,7 +252,7 @@
     /// Ends a share that holds `bytes`.
     pub fn close(&mut self, now: Duration, class: Class, id: Id, bytes: u64) {
         let usage = &mut self.usage[class.index()];
-        usage.waiting.remove(&id);
+        usage.end_wait(now, id);
         if usage.exceeding == Some(id) {
             usage.exceeding = None;
         }
@@ -249,7 +264,7 @@
 
     /// Stops waiting for room, without an end of the share.
     pub fn stop_waiting(&mut self, now: Duration, class: Class, id: Id) {
-        self.usage[class.index()].waiting.remove(&id);
+        self.usage[class.index()].end_wait(now, id);
         self.resume(now, id);
     }
 
@@ -297,12 +312,25 @@
 
     /// Use of the budget.
     #[must_use]
-    pub fn report(&self) -> Report {
+    pub fn report(&self, now: Duration) -> Report {
         let [request, answer] = &self.usage;
+        let longest_wait = |usage: &Usage| {
+            let first = usage.waiting.values().min();
+            first.map_or(Duration::ZERO, |since| now.saturating_sub(*since))
+        };
+        let waited = |usage: &Usage| {
+            let running = usage.waiting.values();
+            usage.waited
+                + running
+                    .map(|since| now.saturating_sub(*since))
+                    .sum::<Duration>()
+        };
         Report {
             limit: self.limit,
             used: [request.bytes, answer.bytes],
             waiting: [request.waiting.len(), answer.waiting.len()],
+            longest_wait: [longest_wait(request), longest_wait(answer)],
+            waited: [waited(request), waited(answer)],
             refused: [request.refused, answer.refused],
         }
     }
@@ -351,7 +379,7 @@
         // An answer is not refused: its target has made it, and those before it move or are slow.
         let is_standing = class == Class::Request && now >= usage.moved_at + STANDSTILL_MAX;
         let is_free = |id: &&Id| self.parties.contains_key(id) && !chosen.contains_key(id);
-        let newest = usage.waiting.iter().rev().find(is_free).copied();
+        let newest = usage.waiting.keys().rev().find(is_free).copied();
         let newest = newest.filter(|_| is_standing);
         let Some(id) = slowest.map(|(_, id)| id).or(newest) else {
             return;
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -123,6 +123,7 @@
             && medium.is_none()
             && let Some(memory) = memory
         {
+            let _queued = memory.budget.queue();
             medium = memory.medium.acquire().await.ok();
             reserve(&mut collected, limit.min(MEDIUM_MAX_BYTES));
         }
@@ -130,6 +131,7 @@
             && large.is_none()
             && let Some(memory) = memory
         {
+            let _queued = memory.budget.queue();
             large = memory.large.acquire().await.ok();
             reserve(&mut collected, limit);
         }
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -1,6 +1,7 @@
 //! The byte budget of the process, shared by its listeners, its clients and the protocol between
 //! daemons.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
     /// Notified when bytes are given back.
     room: Arc<Notify>,
     start: Instant,
+    /// Answers that wait for their turn to be read.
+    queued: AtomicUsize,
 }
 
 /// The budget. Copies share it. It is used on one thread; the lock is there because bodies may be
@@ -33,6 +36,7 @@
             budget: Mutex::new(Budget::new(limit)),
             room: Arc::default(),
             start: Instant::now(),
+            queued: AtomicUsize::new(0),
         }))
     }
 
@@ -56,7 +60,21 @@
     /// Use of the budget.
     #[must_use]
     pub fn report(&self) -> Report {
-        self.budget().report()
+        let now = self.now();
+        self.budget().report(now)
+    }
+
+    /// Number of answers that wait until others have been read. Each holds a slot of the target.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.0.queued.load(Ordering::Relaxed)
+    }
+
+    /// Counts an answer among those of [`Self::queued`] until the result is dropped.
+    #[must_use]
+    pub fn queue(&self) -> Queued {
+        self.0.queued.fetch_add(1, Ordering::Relaxed);
+        Queued(self.clone())
     }
 
     /// Opens a share without bytes.
@@ -101,6 +119,16 @@
     }
 }
 
+/// An answer that waits for its turn to be read.
+#[derive(Debug)]
+pub struct Queued(Memory);
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        self.0.0.queued.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Bytes of the budget that are in use for one purpose; given back when dropped.
 #[derive(Debug)]
 pub struct Share {
--- a/crates/router/src/memory_metrics.rs
+++ b/crates/router/src/memory_metrics.rs
@@ -32,6 +32,31 @@
             });
         })
         .build();
+    let longest_wait = memory.clone();
+    meter
+        .f64_observable_gauge("pollenrouter_memory_longest_wait_seconds")
+        .with_callback(move |observer| {
+            let report = longest_wait.report();
+            each_class(|at, label| {
+                observer.observe(report.longest_wait[at].as_secs_f64(), label);
+            });
+        })
+        .build();
+    let waited = memory.clone();
+    meter
+        .f64_observable_counter("pollenrouter_memory_waited_seconds")
+        .with_callback(move |observer| {
+            let report = waited.report();
+            each_class(|at, label| {
+                observer.observe(report.waited[at].as_secs_f64(), label);
+            });
+        })
+        .build();
+    let queued = memory.clone();
+    meter
+        .u64_observable_gauge("pollenrouter_memory_queued")
+        .with_callback(move |observer| observer.observe(queued.queued() as u64, &[]))
+        .build();
     let gave_way = memory.clone();
     meter
         .u64_observable_counter("pollenrouter_memory_gave_way")
