Show in tests that untrusted clients leave ordinary callers behind

48 callers, or an entry with 60 streams, ask for long answers and do not take them, or slowly. On a host whose memory has room for two such answers, no ordinary request of the same service is answered within 30 s, the time in which callers have to take their responses (docs/CALLERS.md). Bounds of memory and descriptors hold.

The metrics show at that time: 9 calls at work, 9 answers that wait for room, none that waits for its turn, the oldest for 12 s.

--- a/crates/dev/tests/hostile/answers.rs
+++ b/crates/dev/tests/hostile/answers.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 
 use crate::crowd;
-use crate::site::{ANSWER_BYTES, Site};
+use crate::site::{ANSWER_BYTES, Site, TWO_ANSWERS_MB};
 
 /// Connections whose answers together are three times the memory of the host.
 const CLIENTS: usize = 48;
@@ -49,6 +49,25 @@
     site.check_large("after long answers");
 }
 
+/// Guards against answers that wait for memory and keep the slots of the target meanwhile, so that
+/// ordinary callers, whose answers need no memory, get none either.
+#[rstest]
+#[case::not_read("GET /board/refresh", 0)]
+#[case::read_slowly("GET /board/refresh", 1024)]
+#[case::not_read_between_daemons("POST /assignment/assign", 0)]
+#[case::read_slowly_between_daemons("POST /assignment/assign", 1024)]
+fn ordinary_callers_beside_long_answers(#[case] start: &str, #[case] rate: usize) {
+    let site = Site::with_memory(TWO_ANSWERS_MB);
+    let request = request(start, ANSWER_BYTES, LONG_DEADLINE_MS);
+    let mut crowd = crowd::send(site.public(), CLIENTS, |stream| {
+        stream.write_all(request.as_bytes())
+    });
+    crowd::read_slowly(&mut crowd, rate, LASTS);
+    site.check_service("ordinary callers beside long answers", start);
+    drop(crowd);
+    site.check_large("after ordinary callers beside long answers");
+}
+
 /// Guards against answers that pile up behind one that is not read.
 #[rstest]
 #[case::long(ANSWER_BYTES)]
--- a/crates/dev/tests/hostile/peers.rs
+++ b/crates/dev/tests/hostile/peers.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::{runtime, task, time};
 
-use crate::site::{ANSWER_BYTES, BODY_BYTES, Site};
+use crate::site::{ANSWER_BYTES, BODY_BYTES, Site, TWO_ANSWERS_MB};
 
 /// Streams of one connection; a daemon permits 256 at a time.
 const STREAMS: usize = 250;
@@ -165,3 +165,14 @@
     drop(peer);
     site.check_large("after answers not read by an entry");
 }
+
+/// Guards against answers that wait for memory and keep the slots of the target meanwhile.
+#[test]
+fn ordinary_callers_beside_an_entry_that_does_not_read() {
+    let site = Site::with_memory(TWO_ANSWERS_MB);
+    let payloads = (0..LONG_STREAMS as u64).map(|at| offer(&site, at, 0));
+    let peer = Peer::start(&site, payloads.collect(), true);
+    site.check("ordinary callers beside an entry");
+    drop(peer);
+    site.check_large("after ordinary callers beside an entry");
+}
--- a/crates/dev/tests/hostile/site.rs
+++ b/crates/dev/tests/hostile/site.rs
@@ -13,13 +13,16 @@
 
 /// Memory of the host, MB; less than half of that of the smallest host.
 const MEMORY_MB: u64 = 64;
+/// Memory of a host whose budget has room for two long answers, MB.
+pub const TWO_ANSWERS_MB: u64 = 40;
 /// Descriptors of the host.
 pub const DESCRIPTORS: usize = 400;
 /// Limit of the bodies of requests and answers, bytes.
 pub const BODY_BYTES: usize = 4 << 20;
 /// Size of the long answers, bytes: the stand-in adds a line to what it is asked for.
 pub const ANSWER_BYTES: usize = BODY_BYTES - (4 << 10);
-/// A request that is not answered for so long counts as hung.
+/// A request that is not answered for so long counts as hung. It is the time in which callers have to take
+/// their responses, docs/CALLERS.md: by then each caller that takes nothing is cut off.
 const HUNG_AFTER: Duration = Duration::from_secs(30);
 
 /// Keeps the tests of this program apart: each needs the memory bounds for itself.
@@ -28,12 +31,18 @@
 /// Two daemons. The target of `board` is beside the first, that of `assignment` beside the second.
 pub struct Site {
     pub deployment: Deployment,
+    memory_mb: u64,
     _turn: MutexGuard<'static, ()>,
 }
 
 impl Site {
     /// Starts the daemons with the lowered limits.
     pub fn start() -> Self {
+        Self::with_memory(MEMORY_MB)
+    }
+
+    /// The same with this much memory, MB.
+    pub fn with_memory(memory_mb: u64) -> Self {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let mut plan = support::two_service_plan(1, 0);
         let dir = tempfile::TempDir::new().expect("directory must be created");
@@ -44,9 +53,10 @@
         // The wait is that of deploy/settings.yaml: a call that its target does not end keeps its
         // slot for no longer after its deadline.
         plan.settings =
-            format!("memory_mb: {MEMORY_MB}\ndescriptors: {DESCRIPTORS}\nanswer_wait_ms: 200\n");
+            format!("memory_mb: {memory_mb}\ndescriptors: {DESCRIPTORS}\nanswer_wait_ms: 200\n");
         Self {
             deployment: Deployment::start(&plan).expect("deployment must start"),
+            memory_mb,
             _turn: turn,
         }
     }
@@ -58,8 +68,15 @@
 
     /// Asserts that the bounds hold now and that an ordinary request is answered.
     pub fn check(&self, name: &str) {
+        self.check_service(name, "GET /board/refresh");
+    }
+
+    /// The same with a request that begins with `start`.
+    pub fn check_service(&self, name: &str, start: &str) {
         self.check_bounds(name);
-        let request = "GET /board/refresh HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let request = format!(
+            "{start} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        );
         self.check_answered(name, request.as_bytes());
         self.check_bounds(name);
     }
@@ -83,10 +100,10 @@
             let open = open.count();
             eprintln!("{name}: {}: peak {peak} KiB, {open} descriptors", host.name);
             assert!(
-                peak <= MEMORY_MB << 10,
+                peak <= self.memory_mb << 10,
                 "{name}: peak memory of {} is {peak} KiB, its host has {} KiB",
                 host.name,
-                MEMORY_MB << 10
+                self.memory_mb << 10
             );
             assert!(
                 open <= DESCRIPTORS,
@@ -96,12 +113,30 @@
         }
     }
 
+    /// Prints what the first daemon reports of its memory and its gate, to trace a failure.
+    fn print_metrics(&self, name: &str, response: &[u8]) {
+        let operator = self.deployment.hosts[0].addresses.operator;
+        let metrics = exchange(operator, b"GET /metrics HTTP/1.0\r\n\r\n");
+        let metrics = String::from_utf8_lossy(&metrics);
+        let names = ["pollenrouter_memory_", "pollenrouter_gate_"];
+        let lines = metrics
+            .lines()
+            .filter(|line| names.iter().any(|name| line.starts_with(name)));
+        let response = String::from_utf8_lossy(response);
+        eprintln!("{name}: response {:?}", response.lines().next());
+        lines.for_each(|line| eprintln!("{name}: {line}"));
+    }
+
     /// A refusal may come first: the requests of the crowd may still be in the way.
     fn check_answered(&self, name: &str, request: &[u8]) {
         let answered = format!("{name}: an ordinary request is answered");
         support::wait_until(&answered, || {
             let response = exchange(self.public(), request);
-            response.starts_with(b"HTTP/1.1 200 ")
+            let is_answered = response.starts_with(b"HTTP/1.1 200 ");
+            if !is_answered {
+                self.print_metrics(name, &response);
+            }
+            is_answered
         });
     }
 }
