Drop answers that wait for memory while nobody takes answers

Callers who asked for long answers and did not take them left ordinary callers of the same target without an answer for as long as their deadlines allowed: an answer waits for room in the budget, and its call holds a slot of the target meanwhile. In the failing tests all 9 calls at work waited, the oldest for 12 s.

While nobody has taken answers at 32 KiB/s for 2 s, the newest answer that waits is now dropped, one each 50 ms, as requests are. The call has run and its answer is not kept; this says nothing about the target. Room that one slow caller leaves to the next does not end this state, since it frees no slot. Bytes that the buffers between the daemon and a caller take by themselves (measured: 265 KB and 128 KB) no longer count as taken; they made a caller that reads nothing look fast for a window of 3 s.

Two tests of the budget guard both directions: stalled takers, and takers at an ordinary speed.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -38,11 +38,6 @@
 /// Maximum size of the body of a request for a ticket, which is ignored.
 const TICKET_BODY_MAX_BYTES: u64 = 1024;
 
-/// Size of the system's buffers for each direction of a connection, bytes; the system doubles it.
-/// Larger ones would take memory of the host, and would hide for seconds how fast a caller takes a
-/// response. A round trip of 10 ms still permits 200 Mbit/s.
-const SOCKET_BUFFER_BYTES: usize = 128 << 10;
-
 /// Queues an event; returns false if the queue is full.
 pub type Sink = Arc<dyn Fn(Event) -> bool + Send + Sync>;
 /// Looks up the route of a request.
@@ -110,8 +105,8 @@
     stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     // Accepted connections inherit them.
-    sockopt::set_socket_send_buffer_size(&listener, SOCKET_BUFFER_BYTES)?;
-    sockopt::set_socket_recv_buffer_size(&listener, SOCKET_BUFFER_BYTES)?;
+    sockopt::set_socket_send_buffer_size(&listener, pipeline::SOCKET_BUFFER_BYTES)?;
+    sockopt::set_socket_recv_buffer_size(&listener, pipeline::SOCKET_BUFFER_BYTES)?;
     let (limits, memory) = (cx.limits.clone(), cx.memory.clone());
     let max_connections = cx.max_connections;
     let connections = Rc::<Connections>::default();
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -39,6 +39,12 @@
 /// Unsent bytes of responses from which a caller that takes them too slowly gives way if memory is
 /// short.
 const LARGE_OUTPUT_BYTES: usize = 32 << 10;
+/// Size of the system's buffers for each direction of a connection, bytes; the system doubles it.
+/// Larger ones would take memory of the host, and would hide for seconds how fast a caller takes a
+/// response. A round trip of 10 ms still permits 200 Mbit/s.
+pub(crate) const SOCKET_BUFFER_BYTES: usize = 128 << 10;
+/// Bytes that a caller's system takes for a caller that reads nothing: the default of Linux.
+const CALLER_BUFFER_BYTES: usize = 128 << 10;
 /// Space for one read, bytes.
 pub(crate) const READ_BYTES: usize = 2048;
 /// Time after the stop for a request that has arrived in part.
@@ -341,7 +347,8 @@
         let is_last = self.is_closing && !self.has_requests();
         encode::response(&mut self.output, response, *to_head_request, is_last);
         if self.output.len() > LARGE_OUTPUT_BYTES && self.taker.is_none() {
-            self.taker = Some(self.memory.party(Class::Answer));
+            let buffered = 2 * SOCKET_BUFFER_BYTES + CALLER_BUFFER_BYTES;
+            self.taker = Some(self.memory.taker(Class::Answer, buffered));
         }
     }
 
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -80,6 +80,8 @@
     },
     /// The call did not run: no byte of it was sent, or the target refused to run it.
     NotStarted(Refusal),
+    /// The target answered, and there was no memory for the answer.
+    NotKept,
     /// The connection broke after the request may have been sent.
     Lost,
     /// The target ended while it may have been running the call.
--- a/crates/core/src/gate/completion.rs
+++ b/crates/core/src/gate/completion.rs
@@ -35,6 +35,14 @@
                 out.push(Output::Reply(id, reply));
                 self.complete(now, id, running.at_most_once, bytes, out);
             }
+            // Says nothing about the target.
+            Outcome::NotKept => {
+                self.records.set(id, State::Done { cached: false }, None);
+                out.push(Output::Reply(
+                    id,
+                    Reply::Unknown(UnknownReason::AnswerNotKept),
+                ));
+            }
             Outcome::NotStarted(refusal) => {
                 self.record_outcome(refusal == Refusal::Unreachable);
                 self.refuse(id, refusal, None, out);
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -6,27 +6,23 @@
 //! budget. In each class the share that has waited longest may exceed the budget if no other share
 //! of the class does: one request and one answer always have room, however small the budget.
 
+mod party;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use party::Party;
+pub use party::SLOW_BYTES_PER_S;
+
 /// Time for which shares wait before a party has to give way for them. Longer than the
 /// pauses of a connection that loses a packet.
 pub const WAIT_MAX: Duration = Duration::from_secs(1);
-/// Time without any room given, after which the newest request that waits for it is refused.
+/// Time without any movement, after which the newest share that waits for room is refused.
 pub const STANDSTILL_MAX: Duration = Duration::from_secs(2);
-/// Time over which the rate of a party is measured. At [`SLOW_BYTES_PER_S`] it is long enough for
-/// two of the steps in which the system takes the bytes of a listener's connections.
-const RATE_WINDOW: Duration = Duration::from_secs(3);
 /// Time without a byte after which the sender of a request counts as slow at once. Shorter than
 /// [`STANDSTILL_MAX`], so that it gives way before those that wait; longer than a lost packet takes
 /// to be sent again.
 const STALL_MAX: Duration = Duration::from_millis(1500);
-/// Rate below which a party gives way when the budget is short, bytes per second. At it, the
-/// slowest link of a host (10 Mbit/s) still serves 38 parties at a time.
-pub const SLOW_BYTES_PER_S: u64 = 32 << 10;
-/// Bytes of the parties of a class that count as a movement: less than [`SLOW_BYTES_PER_S`] over
-/// [`STANDSTILL_MAX`] is a standstill.
-const MOVEMENT_BYTES: u64 = 64 << 10;
 /// Memory of a process without callers: its program, its threads, the routing table and the
 /// connections to other daemons, bytes.
 const OWN_BYTES: u64 = 24 << 20;
@@ -82,11 +78,11 @@
     /// Since when the class has been short, and when a share last waited. A class for which no
     /// share waits is short until [`WAIT_MAX`] later, since the next one may follow at once.
     short: Option<(Duration, Duration)>,
-    /// When room was last given to a share that waited, a share was closed, or the parties had
-    /// moved [`MOVEMENT_BYTES`].
+    /// When room was last given to a share that waited, a share was closed, or a party was not
+    /// slow.
     moved_at: Duration,
-    /// Bytes that parties have moved since.
-    moved_bytes: u64,
+    /// Whether nothing has moved for [`STANDSTILL_MAX`], and since then no party that is not slow.
+    is_standing: bool,
     gave_way_at: Option<Duration>,
     refused: u64,
 }
@@ -100,45 +96,6 @@
     }
 }
 
-/// Somebody at the other side of a connection that sends or takes the bytes of a share, and gives
-/// way if it is too slow.
-#[derive(Clone, Debug)]
-struct Party {
-    class: Class,
-    /// When the current window began, and the bytes moved in it.
-    since: Duration,
-    bytes: u64,
-    /// When it last moved bytes, or could not.
-    moved_at: Duration,
-    /// Whether it can not move because this process does not read.
-    is_paused: bool,
-    /// Bytes per second in the latest complete window, if there was one.
-    rate: Option<u64>,
-}
-
-impl Party {
-    /// Ends the current window if it is long enough.
-    fn update_rate(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.since);
-        if self.is_paused || elapsed < RATE_WINDOW {
-            return;
-        }
-        let ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-        self.rate = Some(self.bytes.saturating_mul(1000) / ms.max(1));
-        self.since = now;
-        self.bytes = 0;
-    }
-
-    /// Begins a new window, since the current one holds a pause.
-    fn resume(&mut self, now: Duration) {
-        if std::mem::take(&mut self.is_paused) {
-            self.moved_at = now;
-            self.since = now;
-            self.bytes = 0;
-        }
-    }
-}
-
 /// Use of the budget, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -224,7 +181,10 @@
         usage.waiting.entry(id).or_insert(now);
         let since = match usage.short {
             Some((since, latest)) if now <= latest + WAIT_MAX => since,
-            _ => now,
+            _ => {
+                usage.is_standing = false;
+                now
+            }
         };
         usage.short = Some((since, now));
         if let Some(party) = self.parties.get_mut(&id) {
@@ -270,29 +230,19 @@
 
     /// Adds the party that sends or takes the bytes of a share.
     pub fn add_party(&mut self, now: Duration, class: Class, id: Id) {
-        let party = Party {
-            class,
-            since: now,
-            bytes: 0,
-            moved_at: now,
-            is_paused: false,
-            rate: None,
-        };
+        self.add_buffered_party(now, class, id, 0);
+    }
+
+    /// The same with `buffered` bytes of buffers between the process and a party that takes bytes.
+    pub fn add_buffered_party(&mut self, now: Duration, class: Class, id: Id, buffered: u64) {
+        let party = Party::new(now, class, buffered);
         self.parties.insert(id, party);
     }
 
     /// Records that a party has sent or taken bytes.
     pub fn record_progress(&mut self, now: Duration, id: Id, bytes: u64) {
         if let Some(party) = self.parties.get_mut(&id) {
-            party.update_rate(now);
-            party.bytes += bytes;
-            party.moved_at = now;
-            let usage = &mut self.usage[party.class.index()];
-            usage.moved_bytes += bytes;
-            if usage.moved_bytes >= MOVEMENT_BYTES {
-                usage.moved_bytes = 0;
-                usage.moved_at = now;
-            }
+            party.record_progress(now, bytes);
         }
     }
 
@@ -350,6 +300,22 @@
         }
     }
 
+    /// Whether nothing moves in a class. Requests that wait hold nothing else, so any movement ends
+    /// it. Answers that wait hold slots of the target, and room that one slow party leaves to
+    /// the next frees none: only a party that is not slow ends it.
+    fn is_standing(&mut self, now: Duration, class: Class) -> bool {
+        let mut parties = self.parties.values();
+        let is_moving = parties.any(|party| party.class == class && party.is_moving());
+        let usage = &mut self.usage[class.index()];
+        if is_moving {
+            usage.moved_at = now;
+        }
+        let is_still = now >= usage.moved_at + STANDSTILL_MAX;
+        let lasts = class == Class::Answer && usage.is_standing && !is_moving;
+        usage.is_standing = is_still || lasts;
+        usage.is_standing
+    }
+
     /// Chooses the party that gives way for the shares that wait in a class, if one has to.
     fn choose(&mut self, now: Duration, class: Class) {
         let usage = &self.usage[class.index()];
@@ -376,8 +342,8 @@
             .filter(|(rate, _)| *rate < SLOW_BYTES_PER_S);
         // The slowest first, and among equals the newest.
         let slowest = slow.min_by_key(|(rate, id)| (*rate, u64::MAX - id));
-        // An answer is not refused: its target has made it, and those before it move or are slow.
-        let is_standing = class == Class::Request && now >= usage.moved_at + STANDSTILL_MAX;
+        let is_standing = self.is_standing(now, class);
+        let (usage, chosen) = (&self.usage[class.index()], &self.chosen);
         let is_free = |id: &&Id| self.parties.contains_key(id) && !chosen.contains_key(id);
         let newest = usage.waiting.keys().rev().find(is_free).copied();
         let newest = newest.filter(|_| is_standing);
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -9,6 +9,8 @@
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
 const LIMIT: u64 = 1000;
+/// Buffers between the process and a party.
+const BUFFERED: u64 = 400_000;
 /// Maximum size of one share.
 const SHARE_MAX: u64 = 300;
 
@@ -259,6 +261,63 @@
     assert!(budget.must_give_way(now, slower));
 }
 
+/// Guards against answers that wait for ever, and keep the slots of the target, behind answers that
+/// nobody takes.
+#[test]
+fn the_newest_answer_gives_way_while_nobody_takes_answers() {
+    let mut budget = Budget::new(LIMIT);
+    let held = fill(&mut budget, Class::Answer);
+    budget.remove_party(held);
+    // Exceeds the budget, so that no other one may.
+    assert!(budget.take(Duration::ZERO, Class::Answer, held, 1));
+    let taker = budget.open();
+    budget.add_buffered_party(Duration::ZERO, Class::Answer, taker, BUFFERED);
+    budget.record_progress(Duration::ZERO, taker, BUFFERED);
+    let ids = [budget.open(), budget.open(), budget.open()];
+    for id in ids {
+        budget.add_party(Duration::ZERO, Class::Answer, id);
+    }
+    for step in 0..=4 {
+        let now = Duration::from_millis(500) * step;
+        assert!(ids.map(|id| budget.take(now, Class::Answer, id, 10)) == [false; 3]);
+    }
+    let early = Duration::from_millis(1900);
+    assert!(!budget.must_give_way(early, ids[2]));
+    assert!(budget.must_give_way(STANDSTILL_MAX, ids[2]));
+    budget.close(STANDSTILL_MAX, Class::Answer, ids[2], 0);
+    budget.remove_party(ids[2]);
+    // Room that goes from one to the next frees no slot.
+    let now = STANDSTILL_MAX + Duration::from_millis(100);
+    budget.close(now, Class::Answer, held, LIMIT + 1);
+    assert!(budget.take(now, Class::Answer, ids[0], LIMIT + 1));
+    let now = now + Duration::from_millis(100);
+    assert!(!budget.take(now, Class::Answer, ids[1], 10));
+    assert!(budget.must_give_way(now, ids[1]));
+}
+
+/// Guards against answers that are refused although they would find room behind those that are
+/// taken at an ordinary speed.
+#[test]
+fn an_answer_waits_while_another_is_taken_at_an_ordinary_speed() {
+    let mut budget = Budget::new(LIMIT);
+    let held = fill(&mut budget, Class::Answer);
+    budget.remove_party(held);
+    // Exceeds the budget, so that no other one may.
+    assert!(budget.take(Duration::ZERO, Class::Answer, held, 1));
+    let taker = budget.open();
+    budget.add_buffered_party(Duration::ZERO, Class::Answer, taker, BUFFERED);
+    budget.record_progress(Duration::ZERO, taker, BUFFERED);
+    let waiting = budget.open();
+    budget.add_party(Duration::ZERO, Class::Answer, waiting);
+    for step in 1..100 {
+        let now = Duration::from_millis(500) * step;
+        budget.record_progress(now, taker, SLOW_BYTES_PER_S);
+        assert!(!budget.take(now, Class::Answer, waiting, 10));
+        assert!(!budget.must_give_way(now, waiting), "{now:?}");
+        assert!(!budget.must_give_way(now, taker), "{now:?}");
+    }
+}
+
 /// Guards against newcomers that wait for ever behind requests that have arrived and wait for
 /// their target.
 #[test]
--- a/crates/daemon/src/frame.rs
+++ b/crates/daemon/src/frame.rs
@@ -273,8 +273,14 @@
         if buf.len() == buf.capacity() {
             let total = (2 * buf.len()).max(BUFFER_MIN_BYTES).min(len);
             if total > SMALL_MAX_BYTES {
-                sender.get_or_insert_with(|| share.party());
+                if share.class() == Class::Answer {
+                    // It holds no slot while it waits: it is not refused so that others find one.
+                    sender = None;
+                } else {
+                    sender.get_or_insert_with(|| share.party());
+                }
                 grow(share, total as u64).await?;
+                sender.get_or_insert_with(|| share.party());
             }
             buf.reserve_exact(total - buf.len());
         }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -13,7 +13,7 @@
 
 use crate::frame::{self, FrameError, NotificationHead, ReplyHead, RpcHead};
 use crate::message::{Event, GateReply, Request};
-use crate::protocol;
+use crate::{protocol, tls};
 
 /// QUIC error code with which an answer is reset that the peer takes too slowly.
 const SLOW_ERROR_CODE: u32 = 2;
@@ -151,7 +151,8 @@
         answer_head,
         body_bytes: body.len() as u64,
     };
-    let taker = (body.len() > LARGE_ANSWER_BYTES).then(|| memory.party(Class::Answer));
+    let taker = (body.len() > LARGE_ANSWER_BYTES)
+        .then(|| memory.taker(Class::Answer, tls::STREAM_WINDOW_BYTES as usize));
     frame::write(tx, &head, &body, taker.as_ref()).await?;
     // Counts as open until the entry has received the reply, so that a shutdown can
     // wait for it.
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -25,7 +25,7 @@
 const NOTIFICATION_STREAMS_MAX: u32 = 64;
 /// Receive window of each stream, bytes: what a link of 200 Mbit/s carries in 10 ms, which is
 /// longer than a round trip between failure domains.
-const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+pub const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 /// Receive window of all streams of a connection, bytes. Streams that wait for memory keep theirs,
 /// and the others still need some.
 const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -138,7 +138,10 @@
         if let Some(share) = &mut share
             && len > UNCOUNTED_MAX_BYTES as u64
         {
-            share.grow(len.max((2 * len).min(limit))).await;
+            let total = len.max((2 * len).min(limit));
+            if !share.grow_unless_refused(total).await {
+                return Err(BodyError::NoRoom);
+            }
         }
         collected.extend_from_slice(&data);
     }
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -9,7 +9,7 @@
 use pollenrouter_core::memory::{Budget, Class, Id, Report};
 use tokio::sync::Notify;
 use tokio::sync::futures::OwnedNotified;
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 /// Interval at which the parties of a budget that is short ask whether they have to give way.
 pub const GIVE_WAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -89,11 +89,17 @@
         }
     }
 
-    /// Adds a party that takes the bytes of shares.
+    /// Adds a party that takes the bytes of shares behind `buffered` bytes of buffers.
     #[must_use]
-    pub fn party(&self, class: Class) -> Party {
-        let id = self.budget().open();
-        self.party_of(class, id)
+    pub fn taker(&self, class: Class, buffered: usize) -> Party {
+        let now = self.now();
+        let mut budget = self.budget();
+        let id = budget.open();
+        budget.add_buffered_party(now, class, id, buffered as u64);
+        Party {
+            memory: self.clone(),
+            id,
+        }
     }
 
     fn party_of(&self, class: Class, id: Id) -> Party {
@@ -166,7 +172,7 @@
         taken
     }
 
-    /// Takes room for `total` bytes, and waits until there is some.
+    /// Takes room for `total` bytes, and waits until there is some, however long.
     pub async fn grow(&mut self, total: u64) {
         loop {
             let room = self.memory.room();
@@ -179,6 +185,25 @@
         }
     }
 
+    /// Takes room for `total` bytes, and waits until there is some. Returns whether it got it; if
+    /// not, the share has to give way.
+    pub async fn grow_unless_refused(&mut self, total: u64) -> bool {
+        if self.try_grow(total) {
+            return true;
+        }
+        let party = self.party();
+        loop {
+            let room = self.memory.room();
+            if self.try_grow(total) {
+                return true;
+            }
+            if party.must_give_way() {
+                return false;
+            }
+            let _ = time::timeout(GIVE_WAY_CHECK_INTERVAL, room).await;
+        }
+    }
+
     /// Gives back all but `total` bytes.
     pub fn shrink(&mut self, total: u64) {
         let less = self.bytes.saturating_sub(total);
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -24,7 +24,7 @@
                 self.crash_observer
                     .record_completed(now, fingerprint, &self.crash_evidence);
             }
-            Outcome::NotStarted(_) | Outcome::Lost => {}
+            Outcome::NotStarted(_) | Outcome::NotKept | Outcome::Lost => {}
         }
     }
 
--- a/crates/target/src/sender.rs
+++ b/crates/target/src/sender.rs
@@ -216,6 +216,10 @@
                 self.report_connection_failure(&call.target).await;
                 return Err(self.broken_off(&client, &call, &reason).await);
             }
+            Err(err @ body::BodyError::NoRoom) => {
+                self.log_lost(&call, &err.to_string());
+                return Err(gate::Outcome::NotKept);
+            }
             Err(err) => return Err(self.log_lost(&call, &err.to_string())),
         };
         let head = http_message::ResponseHead {
