Test answers without end in every part of an answer

Another operator's machine kept all bytes of an answer that never ended. Here the hostile tests played a body, tiny chunks, a head and a stalled body, with callers that read nothing. New are garbage, one header, interim responses, the extension of a chunk, trailers, and bytes behind a complete answer, for which the stand-in has a new fault.

--- a/crates/dev/src/faulty.rs
+++ b/crates/dev/src/faulty.rs
@@ -53,6 +53,8 @@
     EndlessTrailers,
     /// Sends a body without a length and without end.
     EndlessBody,
+    /// Answers, and sends further bytes without end.
+    EndlessSurplus,
     /// States a length and sends nothing more.
     MissingBody,
     /// Sends half of the body and closes the connection.
@@ -278,6 +280,10 @@
         Fault::EndlessExtension => (format!("{chunked}1;"), block.to_string()),
         Fault::EndlessTrailers => (format!("{chunked}0\r\n"), "x: y\r\n".repeat(100)),
         Fault::EndlessBody => (format!("{HEAD}{id}\r\n"), block.to_string()),
+        Fault::EndlessSurplus => (
+            format!("{HEAD}{id}content-length: 4\r\n\r\ndone"),
+            block.to_string(),
+        ),
         Fault::StalledLongBody => (long_body(id), String::new()),
         Fault::MissingBody => (
             format!("{HEAD}{id}content-length: 10\r\n\r\n"),
--- a/crates/dev/tests/endless.rs
+++ b/crates/dev/tests/endless.rs
@@ -101,6 +101,7 @@
             .count();
         assert!(requests >= ANSWERS, "{}: {requests} answers", case.name);
         let grown = peak_kib(&deployment) - before;
+        eprintln!("{}: peak memory grew by {grown} KiB", case.name);
         assert!(
             grown < MEMORY_GROWTH_MAX_KIB,
             "{}: peak memory grew by {grown} KiB",
--- a/crates/dev/tests/hostile/answers.rs
+++ b/crates/dev/tests/hostile/answers.rs
@@ -90,6 +90,12 @@
 #[case::tiny_chunks(Fault::EndlessTinyChunks)]
 #[case::a_head(Fault::EndlessHead)]
 #[case::stalled(Fault::StalledLongBody)]
+#[case::garbage(Fault::EndlessGarbage)]
+#[case::one_header(Fault::EndlessHeader)]
+#[case::interim(Fault::EndlessInterim)]
+#[case::an_extension(Fault::EndlessExtension)]
+#[case::trailers(Fault::EndlessTrailers)]
+#[case::behind_an_answer(Fault::EndlessSurplus)]
 fn answers_without_end(#[case] fault: Fault) {
     let site = Site::start();
     let host = &site.deployment.hosts[0];
