--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -123,6 +123,7 @@
             && medium.is_none()
             && let Some(memory) = memory
         {
+            let _queued = memory.budget.queue();
             medium = memory.medium.acquire().await.ok();
             reserve(&mut collected, limit.min(MEDIUM_MAX_BYTES));
         }
@@ -130,13 +131,17 @@
             && large.is_none()
             && let Some(memory) = memory
         {
+            let _queued = memory.budget.queue();
             large = memory.large.acquire().await.ok();
             reserve(&mut collected, limit);
         }
         if let Some(share) = &mut share
             && len > UNCOUNTED_MAX_BYTES as u64
         {
-            share.grow(len.max((2 * len).min(limit))).await;
+            let total = len.max((2 * len).min(limit));
+            if !share.grow_unless_refused(total).await {
+                return Err(BodyError::NoRoom);
+            }
         }
         collected.extend_from_slice(&data);
     }
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -1,6 +1,7 @@
 //! The byte budget of the process, shared by its listeners, its clients and the protocol between
 //! daemons.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use pollenrouter_core::memory::{Budget, Class, Id, Report};
 use tokio::sync::Notify;
 use tokio::sync::futures::OwnedNotified;
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 /// Interval at which the parties of a budget that is short ask whether they have to give way.
 pub const GIVE_WAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -18,6 +19,8 @@
     /// Notified when bytes are given back.
     room: Arc<Notify>,
     start: Instant,
+    /// Answers that wait for their turn to be read.
+    queued: AtomicUsize,
 }
 
 /// The budget. Copies share it. It is used on one thread; the lock is there because bodies may be
@@ -33,6 +36,7 @@
             budget: Mutex::new(Budget::new(limit)),
             room: Arc::default(),
             start: Instant::now(),
+            queued: AtomicUsize::new(0),
         }))
     }
 
@@ -56,7 +60,21 @@
     /// Use of the budget.
     #[must_use]
     pub fn report(&self) -> Report {
-        self.budget().report()
+        let now = self.now();
+        self.budget().report(now)
+    }
+
+    /// Number of answers that wait until others have been read. Each holds a slot of the target.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.0.queued.load(Ordering::Relaxed)
+    }
+
+    /// Counts an answer among those of [`Self::queued`] until the result is dropped.
+    #[must_use]
+    pub fn queue(&self) -> Queued {
+        self.0.queued.fetch_add(1, Ordering::Relaxed);
+        Queued(self.clone())
     }
 
     /// Opens a share without bytes.
@@ -71,11 +89,17 @@
         }
     }
 
-    /// Adds a party that takes the bytes of shares.
+    /// Adds a party that takes the bytes of shares behind `buffered` bytes of buffers.
     #[must_use]
-    pub fn party(&self, class: Class) -> Party {
-        let id = self.budget().open();
-        self.party_of(class, id)
+    pub fn taker(&self, class: Class, buffered: usize) -> Party {
+        let now = self.now();
+        let mut budget = self.budget();
+        let id = budget.open();
+        budget.add_buffered_party(now, class, id, buffered as u64);
+        Party {
+            memory: self.clone(),
+            id,
+        }
     }
 
     fn party_of(&self, class: Class, id: Id) -> Party {
@@ -101,6 +125,16 @@
     }
 }
 
+/// An answer that waits for its turn to be read.
+#[derive(Debug)]
+pub struct Queued(Memory);
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        self.0.0.queued.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Bytes of the budget that are in use for one purpose; given back when dropped.
 #[derive(Debug)]
 pub struct Share {
@@ -138,7 +172,7 @@
         taken
     }
 
-    /// Takes room for `total` bytes, and waits until there is some.
+    /// Takes room for `total` bytes, and waits until there is some, however long.
     pub async fn grow(&mut self, total: u64) {
         loop {
             let room = self.memory.room();
@@ -151,6 +185,25 @@
         }
     }
 
+    /// Takes room for `total` bytes, and waits until there is some. Returns whether it got it; if
+    /// not, the share has to give way.
+    pub async fn grow_unless_refused(&mut self, total: u64) -> bool {
+        if self.try_grow(total) {
+            return true;
+        }
+        let party = self.party();
+        loop {
+            let room = self.memory.room();
+            if self.try_grow(total) {
+                return true;
+            }
+            if party.must_give_way() {
+                return false;
+            }
+            let _ = time::timeout(GIVE_WAY_CHECK_INTERVAL, room).await;
+        }
+    }
+
     /// Gives back all but `total` bytes.
     pub fn shrink(&mut self, total: u64) {
         let less = self.bytes.saturating_sub(total);
