Name the limits of transfers by the usual terms

From the review and a read as a newcomer: the time-out of a request, failed requests, and no statement on speed that was not measured. No behaviour is changed; core/tests/transfers and transfer_limits pass.

--- a/crates/core/src/delta.rs
+++ b/crates/core/src/delta.rs
@@ -9,7 +9,7 @@
 
 /// Maximum size of a value, bytes. The platform's client reads at most 4 MiB of objects.
 pub const VALUE_MAX_BYTES: u64 = 16 << 20;
-/// Level at which a table of 1 MiB is compressed within milliseconds.
+/// Default level of zstd.
 const LEVEL: i32 = 3;
 /// The window has to cover an earlier version and the new one; zstd allows 10 to 27 by default.
 const WINDOW_LOG_MIN: u32 = 10;
--- a/crates/core/src/membership/transfers.rs
+++ b/crates/core/src/membership/transfers.rs
@@ -28,11 +28,11 @@
 /// Bytes in each flush interval within which further daemons may begin to fetch: what a link of
 /// 10 Mbit/s carries in it.
 const UPLOAD_BYTES: usize = 32 << 10;
-/// Maximum number of such bytes that are left over from quiet intervals.
+/// Maximum number of such bytes that unused intervals may add up to.
 const UPLOAD_BYTES_MAX: usize = UPLOADS_MAX * PART_BYTES;
 /// Flush intervals without a part after which another host is asked, 500 ms.
-const PATIENCE_FLUSHES: u32 = 20;
-/// Flush intervals until hosts that have a value are asked again after all were asked in vain, 100 ms.
+const REQUEST_TIMEOUT_FLUSHES: u32 = 20;
+/// Flush intervals before the next request once all hosts that have a value have failed, 100 ms.
 const RETRY_FLUSHES: u32 = 4;
 
 /// A message about a large value.
--- a/crates/core/src/membership/transfers/downloads.rs
+++ b/crates/core/src/membership/transfers/downloads.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use super::{Encoding, Fetch, PATIENCE_FLUSHES, Part, RETRY_FLUSHES};
+use super::{Encoding, Fetch, Part, REQUEST_TIMEOUT_FLUSHES, RETRY_FLUSHES};
 use crate::delta::{self, DecodeError};
 use crate::id;
 use crate::replica::{Key, Object};
@@ -31,9 +31,9 @@
     request: Option<Request>,
     /// Hash of the encoding that `received` is the beginning of; 0 before the first part.
     encoding: u64,
-    /// What has arrived, from whichever hosts.
+    /// Parts that have arrived, from any host.
     received: Vec<u8>,
-    /// Requests in vain since the latest pause.
+    /// Failed requests since the latest pause.
     failures: usize,
     /// Flush intervals until the next request.
     pause: u32,
@@ -44,7 +44,7 @@
 /// What a part leads to.
 #[derive(Debug)]
 pub(in crate::membership) enum Progress {
-    /// The part is not the one that is waited for.
+    /// The part is not the next one.
     Ignored,
     /// Further parts are missing.
     Continue,
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Records that a host was asked in vain. Once all have been, the next request waits: hosts
+    /// Records a failed request to a host. Once all hosts have failed, the next request waits: hosts
     /// that are busy or out of reach would otherwise be asked as fast as they answer.
     fn count_failure(&mut self, host: &id::HostName) {
         let position = self.sources.iter().position(|(h, _)| h == host);
@@ -245,7 +245,7 @@
                 continue;
             };
             request.waiting += 1;
-            if request.waiting >= PATIENCE_FLUSHES {
+            if request.waiting >= REQUEST_TIMEOUT_FLUSHES {
                 let host = request.host.clone();
                 download.give_up(&host);
             }
--- a/crates/core/src/membership/transfers/uploads.rs
+++ b/crates/core/src/membership/transfers/uploads.rs
@@ -5,14 +5,16 @@
 
 use smol_str::SmolStr;
 
-use super::{Encoding, Fetch, PART_BYTES, PATIENCE_FLUSHES, Part, SharedEncoding, UPLOADS_MAX};
+use super::{
+    Encoding, Fetch, PART_BYTES, Part, REQUEST_TIMEOUT_FLUSHES, SharedEncoding, UPLOADS_MAX,
+};
 use super::{LARGE_VALUE_BYTES, Transfer, UPLOAD_BYTES, UPLOAD_BYTES_MAX};
 use crate::delta;
 use crate::id;
 use crate::replica::{Key, Object, Replica};
 
-/// Earlier versions of a value that are kept to express later ones as changes. Changes come less
-/// than once a second, and hosts that are further behind fetch the whole value.
+/// Earlier versions of a value that are kept to express later ones as changes. Hosts that are
+/// further behind fetch the whole value.
 const EARLIER_MAX: usize = 3;
 /// Maximum size of the earlier versions of a value, bytes.
 const EARLIER_MAX_BYTES: usize = 4 << 20;
@@ -113,7 +115,7 @@
         let Some(encoding) = self.encoding(object, fetch) else {
             return unavailable(false);
         };
-        // An upload that has made room for that of another key goes on where it was.
+        // The entry of the host may have been replaced by its upload of another key.
         let is_known = encoding.hash == fetch.encoding;
         let next = Fetch {
             offset: if is_known { fetch.offset } else { 0 },
@@ -129,7 +131,7 @@
             upload.idle_flushes += 1;
         }
         self.by_host
-            .retain(|_, upload| upload.idle_flushes < PATIENCE_FLUSHES);
+            .retain(|_, upload| upload.idle_flushes < REQUEST_TIMEOUT_FLUSHES);
     }
 
     fn part(&mut self, host: &id::HostName, encoding: &SharedEncoding, fetch: &Fetch) -> Transfer {
--- a/crates/core/tests/transfer_limits.rs
+++ b/crates/core/tests/transfer_limits.rs
@@ -122,7 +122,7 @@
 }
 
 /// Guards against a host that is reported as gone long before it has missed the rounds, because
-/// each request of a transfer in vain counts as one.
+/// each failed request of a transfer counts as one.
 #[test]
 fn requests_for_a_value_do_not_count_as_missed_rounds() {
     const CONNECT_TIMEOUT_FLUSHES: u32 = 10;
