Read a large table from the platform over a slow link

What callers see: the hosts of a failure domain keep the old table for as long as the domain's watchers cannot read the new one from the platform.

Cause: one timeout bounded the whole request, 0.75 s for `resume` and 1.5 s for `list`, with the time in which the body arrives. A table of 0.75 MB takes 1.2 s on a link of 10 Mbit/s of which half is free. After a failed request the reader repeats `resume`, which timed out in the same way each time.

Now this time bounds the request up to the head of the response, from its start, with the lookup of the name and the connection, as before. A read of the body fails after 750 ms without a byte, but not before the end of the time for the head. The whole request ends 6.7 s after the time for the head at the latest: in 6.7 s the largest body, 4 MiB, arrives at 5 Mbit/s. ureq's own timeouts bound either each step or the whole request, so that a connector of ours (transport.rs, ureq's `unversioned` API) keeps the deadlines.

A connection that goes silent in a body is found 750 ms after its last byte, or at the end of the time for the head if that is later, which is when it was found before.

Not run: the daemon tests (platform/tests/daemon, watchers and store_faults) with this change. Writes of large objects keep the bound of 1.5 s, which was not looked into.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -12,19 +12,14 @@
 use crate::dialect::{self, Dialect, Freshness, SyncMode};
 use crate::era;
 use crate::listing::Listing;
+use crate::transport;
 
-/// Timeout of a request. A healthy platform answers within milliseconds, so a request that
-/// takes this long is better retried than waited for.
+/// Time for the head of a response. A healthy platform answers within milliseconds, so a request
+/// that takes this long is better retried than waited for.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Timeout for a new connection. A connection to a platform that is gone, or whose queue of
-/// connections was full, is better opened anew than waited for.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
-/// Time for the response to a watch once its wait is over. Later, its connection counts as silent.
+/// Time for the head of the response to a watch once its wait is over. Later, its connection counts
+/// as silent.
 const WATCH_GRACE: Duration = Duration::from_millis(750);
-/// Maximum size of a response's body; a page or an object has about 1 MiB.
-const BODY_MAX_BYTES: u64 = 4 << 20;
-/// Maximum size of a response's head.
-const HEAD_MAX_BYTES: usize = 16 << 10;
 const OK: u16 = 200;
 const CREATED: u16 = 201;
 const NOT_FOUND: u16 = 404;
@@ -72,7 +67,6 @@
 pub struct Client {
     base_url: SmolStr,
     dialect: Dialect,
-    agent: ureq::Agent,
     era: Arc<era::Tracker>,
 }
 
@@ -87,19 +81,9 @@
     /// Creates a client for a platform that uses `dialect` at `base_url`.
     #[must_use]
     pub fn with_dialect(base_url: &str, dialect: Dialect) -> Self {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            // Each request has a connection of its own: calls are rare, and a kept connection may
-            // have gone silent without notice.
-            .max_idle_connections(0)
-            .max_idle_connections_per_host(0)
-            .max_response_header_size(HEAD_MAX_BYTES)
-            .build();
         Self {
             base_url: base_url.trim_end_matches('/').into(),
             dialect,
-            agent: config.into(),
             era: Arc::default(),
         }
     }
@@ -342,16 +326,19 @@
             None => request
                 .body(())
                 .map_err(ureq::Error::from)
-                .and_then(|request| self.send(request, timeout)),
+                .and_then(|request| transport::send(request, timeout)),
             Some(body) => request
                 .body(body)
                 .map_err(ureq::Error::from)
-                .and_then(|request| self.send(request, timeout)),
+                .and_then(|request| transport::send(request, timeout)),
         };
         let mut response = response.map_err(|err| unavailable(&err))?;
         let status = response.status().as_u16();
         let stated_era = self.read_era(response.headers(), number)?;
-        let body = response.body_mut().with_config().limit(BODY_MAX_BYTES);
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(transport::BODY_MAX_BYTES);
         let bytes = body.read_to_vec().map_err(|err| unavailable(&err))?;
         Ok(Response {
             status,
@@ -382,16 +369,6 @@
         let reason = format!("a response of era {era} came after one of a later era");
         Err(PlatformError::Unavailable(reason))
     }
-
-    fn send<T: ureq::AsSendBody>(
-        &self,
-        request: Request<T>,
-        timeout: Duration,
-    ) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
-        let configured = self.agent.configure_request(request);
-        let request = configured.timeout_global(Some(timeout)).build();
-        self.agent.run(request)
-    }
 }
 
 fn malformed_response(reason: dialect::ParseError) -> PlatformError {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,3 +5,4 @@
 mod era;
 pub mod listing;
 pub mod object;
+mod transport;
