--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -21,7 +21,7 @@
 
 use crate::connect_error::{CONNECT_TIMEOUT, ConnectError};
 use crate::frame::{self, FrameError, NotificationHead, ReplyHead, RpcHead};
-use crate::message::{Answer, Command, Event, GateReply, Peer, Request};
+use crate::message::{Answer, Command, Event, Failure, GateReply, Peer, Request};
 use crate::protocol;
 use crate::tls;
 
@@ -59,9 +59,6 @@
     was_silent: bool,
 }
 
-/// The event for a message that was not delivered to a host.
-type Failure = fn(id::HostName) -> Event;
-
 type SharedPeerState = Rc<Mutex<PeerState>>;
 
 /// Client with at most one connection to each other daemon.
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -104,6 +104,9 @@
     Grant(Peer, id::HostName, quota::Grant),
 }
 
+/// The event for a message that was not delivered to a host.
+pub type Failure = fn(id::HostName) -> Event;
+
 /// Channel for the reply to a received offer or query.
 pub type ReplySender = oneshot::Sender<GateReply>;
 
