Open the gate only after enough daemons have responded

A daemon that starts while the platform is unavailable opened its gate once one other daemon had sent all that it has. That one need not have the copy of a departure that was acknowledged: a departure that the platform had stored was acknowledged after one of two copies, and the two were other hosts than those that a starting daemon asks.

Copies now go to the three daemons that a starting one asks, two must confirm, and two of the three must respond, so that one of them has the departure. If the others do not respond within two rounds, one is enough, as before. The acknowledgement of a stored departure waits for its copies until 750 ms after it was received, of the second that a target waits, instead of 250 ms after it was stored.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -26,6 +26,7 @@
 
 use crate::id;
 use crate::replica::{Key, Object, Replica};
+use crate::startup_sync;
 use crate::watching::{Duty, Waits};
 
 /// Interval between gossip rounds.
@@ -36,8 +37,6 @@
 /// Number of peers that receive updated objects in full; the others receive only their
 /// versions and request what they lack.
 const FANOUT: usize = 3;
-/// Number of daemons that a starting daemon requests objects from.
-const SYNC_FANOUT: usize = 3;
 /// Rotation that derives a second random choice from the same random number.
 const DRAW_ROTATION: u32 = 16;
 /// Size up to which each daemon of a failure domain is a peer of all others. With fewer peers, the
@@ -285,15 +284,21 @@
     /// Requests missing objects from a few daemons, those of the own failure domain first, and from
     /// each once a round: each reply to a starting daemon leads here.
     fn sync(&mut self, out: &mut Vec<Output>) {
-        let remote = self.remote_watchers.iter().flatten();
-        let hosts = self.peers.iter().chain(remote).take(SYNC_FANOUT);
-        for host in hosts {
+        for host in self.sync_peers(startup_sync::COPIES) {
             if self.asked.insert(host.clone()) {
-                out.push(Output::Send(host.clone(), self.sync_request()));
+                out.push(Output::Send(host, self.sync_request()));
             }
         }
     }
 
+    /// The first `count` daemons that a starting daemon requests missing objects from.
+    #[must_use]
+    pub fn sync_peers(&self, count: usize) -> Vec<id::HostName> {
+        let remote = self.remote_watchers.iter().flatten();
+        let hosts = self.peers.iter().chain(remote);
+        hosts.take(count).cloned().collect()
+    }
+
     fn received(&mut self, host: id::HostName, message: Message, draw: u64, out: &mut Vec<Output>) {
         self.missed_rounds.remove(&host);
         if let Some(receives_updates) = message.as_heartbeat() {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -277,13 +277,11 @@
         }
         let is_equal = message.digest == Some(self.membership.replica().digest());
         let is_peer_synced = message.is_complete || is_equal;
-        let mut effects = self.step(membership::Input::Received(
-            gossip.host,
-            message,
-            rand::random(),
-        ));
+        let host = gossip.host.clone();
+        let draw = rand::random();
+        let mut effects = self.step(membership::Input::Received(gossip.host, message, draw));
         if is_peer_synced && self.is_peer_informed() {
-            self.startup_sync.on_peer_synced();
+            self.startup_sync.on_peer_synced(host);
         }
         self.check_startup_sync(&mut effects);
         effects
--- a/crates/router/src/fleet/departures.rs
+++ b/crates/router/src/fleet/departures.rs
@@ -10,9 +10,6 @@
 
 /// Number of daemons asked to store a departure while the platform is unavailable.
 const REPLICAS_REQUESTED: usize = 4;
-/// Number of daemons that must store a departure before it is acknowledged, so that the
-/// loss of one daemon does not lose the departure.
-const REPLICAS_REQUIRED: usize = 2;
 
 impl Fleet {
     /// Registers the departure of a target on this host and the resulting member state in
@@ -40,23 +37,20 @@
         let key = object::member_key(&self.own.host);
         let registration = self.membership.replica().get(&key);
         registration.map_or_else(Vec::new, |registration| {
-            self.replicate(registration, REPLICAS_REQUIRED)
+            self.replicate(registration, startup_sync::COPIES)
         })
     }
 
-    /// Sends an object to `count` other daemons, first to those that a starting daemon asks first:
-    /// those of its own failure domain.
+    /// Sends an object to `count` other daemons, first to those that a starting daemon asks, then
+    /// to those of its own failure domain.
     fn replicate(&self, object: &replica::Object, count: usize) -> Vec<Effect> {
-        let others = self
-            .members
-            .values()
-            .filter(|member| member.state != MemberState::Left && member.host != self.own.host);
-        let hosts = others.map(|member| (&member.failure_domain, &member.host));
-        let mut hosts: Vec<(&id::DomainName, &id::HostName)> = hosts.collect();
+        let mut hosts: Vec<&Member> = self.other_members().collect();
         let offset = usize::from(rand::random::<u16>()) % hosts.len().max(1);
         hosts.rotate_left(offset);
-        hosts.sort_by_key(|(domain, _)| **domain != self.own.failure_domain);
-        let hosts = hosts.into_iter().map(|(_, host)| host).take(count);
+        let asked = self.membership.sync_peers(startup_sync::COPIES);
+        let is_remote = |member: &Member| member.failure_domain != self.own.failure_domain;
+        hosts.sort_by_key(|member| (!asked.contains(&member.host), is_remote(member)));
+        let hosts = hosts.into_iter().map(|member| &member.host).take(count);
         let replicate = |peer| {
             let message = membership::Message {
                 objects: vec![object.clone()],
@@ -69,33 +63,49 @@
             .collect()
     }
 
+    /// The daemons of other hosts that have not left.
+    fn other_members(&self) -> impl Iterator<Item = &Member> {
+        let members = self.members.values();
+        members.filter(|member| member.state != MemberState::Left && member.host != self.own.host)
+    }
+
     /// Records that another daemon stores objects; returns the departures of targets on
-    /// this host that enough daemons store now. One is enough of a departure that the platform
-    /// has stored, too: it spreads from there.
+    /// this host that enough daemons store now. One that the platform has stored, too, does not
+    /// need more copies than there are other daemons.
     pub fn on_replicated(
         &mut self,
         host: &id::HostName,
         objects: &[replica::Object],
     ) -> Vec<TargetIncarnation> {
         let mut replicated = Vec::new();
+        let others = self.other_members().count();
         for object in objects {
             if object.key == object::member_key(&self.own.host) {
                 let member = serde_json::from_str::<Member>(&object.value);
-                replicated.extend(member.into_iter().flat_map(|member| member.departed));
+                for departed in member.into_iter().flat_map(|member| member.departed) {
+                    let key = object::departure_key(&self.own.host, &departed);
+                    let replicas = self.count_replica(key, host);
+                    if replicas >= startup_sync::CONFIRMATIONS.min(others) {
+                        replicated.push(departed);
+                    }
+                }
                 continue;
             }
-            let replicas = self
-                .departure_replicas
-                .entry(object.key.clone())
-                .or_default();
-            replicas.insert(host.clone());
-            if replicas.len() >= REPLICAS_REQUIRED {
+            let replicas = self.count_replica(object.key.clone(), host);
+            if replicas >= startup_sync::CONFIRMATIONS {
                 replicated.extend(self.parse_departure(object));
             }
         }
         replicated
     }
 
+    /// Records that another daemon stores a departure; returns how many do.
+    fn count_replica(&mut self, key: replica::Key, host: &id::HostName) -> usize {
+        let replicas = self.departure_replicas.entry(key).or_default();
+        replicas.insert(host.clone());
+        replicas.len()
+    }
+
     /// Parses a departure object; `None` if it is malformed or concerns another host.
     pub(super) fn parse_departure(&self, object: &replica::Object) -> Option<TargetIncarnation> {
         let suffix = object.key.strip_prefix(object::DEPARTURES)?;
@@ -130,11 +140,10 @@
         if self.is_synced {
             return;
         }
-        let others = self.members.values();
-        let mut others = others.filter(|m| m.state != MemberState::Left && m.host != self.own.host);
         let view = startup_sync::FleetView {
             has_own_object: self.members.contains_key(&self.own.host),
-            has_other_members: others.next().is_some(),
+            has_other_members: self.other_members().next().is_some(),
+            asked: &self.membership.sync_peers(startup_sync::COPIES),
         };
         self.is_synced = self.startup_sync.is_complete(view);
         if self.is_synced {
--- a/crates/router/src/router/departures.rs
+++ b/crates/router/src/router/departures.rs
@@ -13,16 +13,17 @@
 /// daemons. A target waits one second for an acknowledgement.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// A departure that the platform has stored is acknowledged after this time at the latest, even if
-/// no other daemon has confirmed a copy: there may be none in reach.
-const COPY_TIMEOUT: Duration = Duration::from_millis(250);
+/// A departure that the platform has stored is acknowledged this long after it was received at the
+/// latest, even if too few other daemons have confirmed a copy: they may be out of reach. A target
+/// waits one second for an acknowledgement.
+const COPY_TIMEOUT: Duration = Duration::from_millis(750);
 
 /// Departure that is not yet acknowledged.
 pub(super) struct PendingDeparture {
     incarnation: TargetIncarnation,
     received_at: Duration,
-    /// When the platform had stored it.
-    stored_at: Option<Duration>,
+    /// Whether the platform has stored it.
+    is_stored: bool,
     /// Whether other daemons were asked to store a copy.
     copies_requested: bool,
     /// `None` if the target does not wait for an acknowledgement.
@@ -81,19 +82,18 @@
         self.pending_departures.push(PendingDeparture {
             incarnation,
             received_at: self.calls.now(),
-            stored_at: None,
+            is_stored: false,
             copies_requested: false,
             reply_to,
         });
     }
 
     /// Copies departures to other daemons if the platform did not store them in time, and
-    /// acknowledges those that it has stored but no other daemon confirms.
+    /// acknowledges those that it has stored but too few other daemons confirm.
     pub(super) fn check_overdue_departures(&mut self) {
         let now = self.calls.now();
         let is_overdue = |departure: &&PendingDeparture| {
-            let stored_at = departure.stored_at;
-            stored_at.is_some_and(|stored_at| now >= stored_at + COPY_TIMEOUT)
+            departure.is_stored && now >= departure.received_at + COPY_TIMEOUT
         };
         let overdue = self.pending_departures.iter().filter(is_overdue);
         let overdue: Vec<_> = overdue.map(|d| d.incarnation.clone()).collect();
@@ -102,7 +102,8 @@
         }
         let mut effects = Vec::new();
         for departure in &mut self.pending_departures {
-            if !departure.copies_requested && now >= departure.received_at + PLATFORM_TIMEOUT {
+            let is_due = now >= departure.received_at + PLATFORM_TIMEOUT;
+            if is_due && !departure.is_stored && !departure.copies_requested {
                 departure.copies_requested = true;
                 effects.extend(self.fleet.replicate_departure(&departure.incarnation));
             }
@@ -122,11 +123,10 @@
     /// incarnation of this daemon that starts while the platform is out would not learn of it.
     pub(super) fn handle_departure_stored(&mut self, incarnation: TargetIncarnation) {
         self.calls.handle_departure(incarnation.clone());
-        let now = self.calls.now();
         let mut is_pending = false;
         for departure in &mut self.pending_departures {
             if incarnation.implies_departure_of(&departure.incarnation) {
-                departure.stored_at.get_or_insert(now);
+                departure.is_stored = true;
                 is_pending = true;
             }
         }
