Copy departures even if no other daemon is known yet

A daemon that knew no other one acknowledged a departure as soon as the platform had stored it, since there was nobody to copy it to. Just after a start the others may have registered without having been heard of. If the platform then became unavailable before its watchers had read the departure, and the daemon restarted, no running daemon knew of it, and the target that had left was served (200).

--- a/crates/router/src/router/departures.rs
+++ b/crates/router/src/router/departures.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::{Router, acknowledge};
+use crate::fleet::Effect;
 
 /// A departure that the platform has not stored within this time is copied to other
 /// daemons. A target waits one second for an acknowledgement.
@@ -24,7 +25,8 @@
     received_at: Duration,
     /// Whether the platform has stored it.
     is_stored: bool,
-    /// Whether other daemons were asked to store a copy.
+    /// Whether other daemons were asked to store a copy of it, or of the registration with it if the
+    /// platform has stored that.
     copies_requested: bool,
     /// `None` if the target does not wait for an acknowledgement.
     reply_to: Option<oneshot::Sender<()>>,
@@ -100,7 +102,7 @@
         for incarnation in overdue {
             self.handle_departure_copied(incarnation);
         }
-        let mut effects = Vec::new();
+        let mut effects = self.copy_stored_departures();
         for departure in &mut self.pending_departures {
             let is_due = now >= departure.received_at + PLATFORM_TIMEOUT;
             if is_due && !departure.is_stored && !departure.copies_requested {
@@ -126,20 +128,34 @@
         let mut is_pending = false;
         for departure in &mut self.pending_departures {
             if incarnation.implies_departure_of(&departure.incarnation) {
+                departure.copies_requested &= departure.is_stored;
                 departure.is_stored = true;
                 is_pending = true;
             }
         }
-        let effects = if is_pending {
-            self.fleet.copy_registration()
-        } else {
-            Vec::new()
-        };
-        if effects.is_empty() {
-            self.handle_departure_copied(incarnation);
-        } else {
-            self.apply_effects(effects);
+        if !is_pending {
+            self.stored_departures.insert(incarnation);
+            return;
+        }
+        let effects = self.copy_stored_departures();
+        self.apply_effects(effects);
+    }
+
+    /// Has other daemons copy the registration if it has departures that were not copied yet. Just
+    /// after a start, no other daemon may be known; the copies are then requested later.
+    fn copy_stored_departures(&mut self) -> Vec<Effect> {
+        let is_uncopied = |d: &&mut PendingDeparture| d.is_stored && !d.copies_requested;
+        let mut uncopied = self
+            .pending_departures
+            .iter_mut()
+            .filter(is_uncopied)
+            .peekable();
+        if uncopied.peek().is_none() {
+            return Vec::new();
         }
+        let effects = self.fleet.copy_registration();
+        uncopied.for_each(|departure| departure.copies_requested = !effects.is_empty());
+        effects
     }
 
     /// Acknowledges a departure that a restart of this daemon does not lose any more.
