--- /dev/null
+++ b/crates/caller/tests/listener/held.rs
@@ -0,0 +1,84 @@
+//! Memory that is held for callers who do not go on.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pollenrouter_caller::message::Event;
+use pollenrouter_caller::pipeline;
+use pollenrouter_core::memory::{Class, SLOW_BYTES_PER_S};
+use pollenrouter_core::table;
+use pollenrouter_http::memory::{Memory, Share};
+use rustix::net::{self, sockopt};
+
+use crate::support::{self, Listener, answer};
+
+const BUDGET_BYTES: u64 = 64 << 10;
+const LARGE_BYTES: usize = 16 << 10;
+const READ: &str = "GET /read HTTP/1.1\r\nhost: x\r\npollenrouter-deadline-ms: 60000\r\n\r\n";
+/// Time after which memory is held without a bound: that in which callers have to take responses,
+/// docs/CALLERS.md.
+const HELD_MAX: Duration = Duration::from_secs(30);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+fn start(memory: &Memory) -> Listener {
+    let limits = table::CallerLimits::default();
+    support::start_limited(limits, Some, memory.clone())
+}
+
+fn wait_until(timeout: Duration, reached: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + timeout;
+    while !reached() {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(CHECK_INTERVAL / 10);
+    }
+    true
+}
+
+/// Takes all of a class, and one byte over it, so that no other share may exceed it.
+fn fill(memory: &Memory, class: Class, bytes: u64) -> Share {
+    let mut share = memory.share(class);
+    assert!(share.try_grow(bytes));
+    assert!(share.try_grow(bytes + 1));
+    share
+}
+
+/// A request of `len` bytes without a body.
+fn padded(len: usize) -> String {
+    let head = "GET /read HTTP/1.1\r\nhost: x\r\npollenrouter-deadline-ms: 60000\r\nx: ";
+    let end = "\r\n\r\n";
+    format!("{head}{}{end}", "x".repeat(len - head.len() - end.len()))
+}
+
+/// Guards against responses that a caller does not take, and that are copied out of the budget.
+#[test]
+fn short_responses_that_nobody_takes_are_counted() {
+    const BODY_BYTES: usize = 16 << 10;
+    // More than the systems' buffers and what a connection may hold.
+    const REQUESTS: usize = 256;
+
+    let memory = Memory::new(4 << 20);
+    let listener = start(&memory);
+    // Serves, and has bounded the buffers of the connections to come.
+    assert!(listener.is_quiet());
+    let mut caller = listener.connect();
+    caller.send(&READ.repeat(REQUESTS));
+    let mut sent = 0;
+    while let Ok(Event::Call(call)) = listener.events.recv_timeout(Duration::from_secs(2)) {
+        let mut share = memory.share(Class::Answer);
+        assert!(share.try_grow(BODY_BYTES as u64));
+        answer(*call, share.hold(vec![b'x'; BODY_BYTES]));
+        sent += BODY_BYTES;
+    }
+    // No further request begins while responses hold as much.
+    assert!(sent < REQUESTS * BODY_BYTES);
+    let counted = memory.report().used[1];
+    let held = pipeline::HELD_MAX_BYTES;
+    assert!(
+        counted >= held as u64 / 2,
+        "{counted} bytes are counted, {held} are held"
+    );
+}
--- a/crates/caller/tests/listener/main.rs
+++ b/crates/caller/tests/listener/main.rs
@@ -2,6 +2,7 @@
 
 mod bytes_cut;
 mod closing;
+mod held;
 mod keys;
 mod memory;
 mod pipelining;
--- a/crates/dev/tests/hostile/answers.rs
+++ b/crates/dev/tests/hostile/answers.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use pollenrouter_dev::faulty::{self, Fault};
@@ -9,7 +10,7 @@
 use rstest::rstest;
 
 use crate::crowd;
-use crate::site::{ANSWER_BYTES, Site, TWO_ANSWERS_MB};
+use crate::site::{ANSWER_BYTES, HUNG_AFTER, Site, TWO_ANSWERS_MB};
 
 /// Connections whose answers together are three times the memory of the host.
 const CLIENTS: usize = 48;
@@ -18,6 +19,11 @@
 /// Time for which the crowd reads, or waits for what a target sends.
 const LASTS: Duration = Duration::from_secs(8);
 
+/// Until the answer to a request has been made.
+const SETTLES: Duration = Duration::from_secs(1);
+/// Long answers that the budget holds with [`TWO_ANSWERS_MB`]: two, and the one that may exceed it.
+const HELD_AT_A_TIME: usize = 3;
+
 /// Longer than any of the tests.
 const LONG_DEADLINE_MS: u32 = 60_000;
 /// Ends while the crowd waits: the target is replaced, and its calls keep their slots until then.
@@ -84,6 +90,28 @@
     site.check_large("after pipelined requests");
 }
 
+/// Guards against short answers that are copied out of the budget and kept for callers that read nothing.
+#[test]
+fn short_answers_that_nobody_reads() {
+    const CLIENTS: usize = 320;
+    const DESCRIPTORS: usize = 2000;
+    const ANSWER_BYTES: usize = 15 << 10;
+    /// So that most find a slot and few are refused.
+    const PAUSE: Duration = Duration::from_millis(50);
+    let site = Site::with_limits(64, DESCRIPTORS);
+    let request = request("GET /board/refresh", ANSWER_BYTES, LONG_DEADLINE_MS).repeat(PIPELINED);
+    let mut crowd = Vec::new();
+    for _ in 0..CLIENTS {
+        crowd.extend(crowd::send(site.public(), 1, |stream| {
+            stream.write_all(request.as_bytes())
+        }));
+        thread::sleep(PAUSE);
+    }
+    site.check_bounds("short answers that nobody reads");
+    drop(crowd);
+    site.check_large("after short answers that nobody reads");
+}
+
 /// Guards against answers of a target that are kept while they grow without an end.
 #[rstest]
 #[case::a_body(Fault::EndlessBody)]
--- a/crates/dev/tests/hostile/site.rs
+++ b/crates/dev/tests/hostile/site.rs
@@ -23,7 +23,7 @@
 pub const ANSWER_BYTES: usize = BODY_BYTES - (4 << 10);
 /// A request that is not answered for so long counts as hung. It is the time in which callers have to take
 /// their responses, docs/CALLERS.md: by then each caller that takes nothing is cut off.
-const HUNG_AFTER: Duration = Duration::from_secs(30);
+pub const HUNG_AFTER: Duration = Duration::from_secs(30);
 
 /// Keeps the tests of this program apart: each needs the memory bounds for itself.
 static TURN: Mutex<()> = Mutex::new(());
@@ -32,6 +32,7 @@
 pub struct Site {
     pub deployment: Deployment,
     memory_mb: u64,
+    descriptors: usize,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -43,6 +44,11 @@
 
     /// The same with this much memory, MB.
     pub fn with_memory(memory_mb: u64) -> Self {
+        Self::with_limits(memory_mb, DESCRIPTORS)
+    }
+
+    /// The same with this many descriptors.
+    pub fn with_limits(memory_mb: u64, descriptors: usize) -> Self {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let mut plan = support::two_service_plan(1, 0);
         let dir = tempfile::TempDir::new().expect("directory must be created");
@@ -53,10 +59,11 @@
         // The wait is that of deploy/settings.yaml: a call that its target does not end keeps its
         // slot for no longer after its deadline.
         plan.settings =
-            format!("memory_mb: {memory_mb}\ndescriptors: {DESCRIPTORS}\nanswer_wait_ms: 200\n");
+            format!("memory_mb: {memory_mb}\ndescriptors: {descriptors}\nanswer_wait_ms: 200\n");
         Self {
             deployment: Deployment::start(&plan).expect("deployment must start"),
             memory_mb,
+            descriptors,
             _turn: turn,
         }
     }
@@ -106,9 +113,10 @@
                 self.memory_mb << 10
             );
             assert!(
-                open <= DESCRIPTORS,
-                "{name}: {} has {open} open descriptors, its host has {DESCRIPTORS}",
-                host.name
+                open <= self.descriptors,
+                "{name}: {} has {open} open descriptors, its host has {}",
+                host.name,
+                self.descriptors
             );
         }
     }
