Show that a connection which no longer waits for memory blocks all bodies

What is read ahead waits for 16 KiB, then needs only the 8 KiB that it has: try_grow returns true and the share keeps its place among those that wait. A body of 16 KiB gets 503 with 8 KiB of 64 in use.

--- a/crates/caller/tests/listener/held.rs
+++ b/crates/caller/tests/listener/held.rs
@@ -82,3 +82,44 @@
         "{counted} bytes are counted, {held} are held"
     );
 }
+
+/// Guards against a connection that no longer waits for memory and keeps its place before all bodies
+/// that wait, so that none of them is read.
+#[test]
+fn a_connection_that_no_longer_waits_does_not_block_bodies() {
+    let memory = Memory::new(BUDGET_BYTES);
+    let listener = start(&memory);
+    // Serves, and has bounded the buffers of the connections to come.
+    assert!(listener.is_quiet());
+    let mut caller = listener.connect();
+    caller.send(&READ.repeat(pipeline::AT_WORK_MAX));
+    let mut calls: Vec<_> = (0..pipeline::AT_WORK_MAX)
+        .map(|_| listener.call())
+        .collect();
+    // What is read ahead has a share of 8 KiB, and needs twice as much for the rest.
+    caller.send(&padded(2500));
+    assert!(wait_until(HELD_MAX, || memory.report().used[0] > 0));
+    let filler = fill(&memory, Class::Request, BUDGET_BYTES / 2 - (8 << 10));
+    caller.send(&padded(2400));
+    caller.send(&padded(2100));
+    assert!(wait_until(HELD_MAX, || memory.report().waiting[0] == 1));
+    // The first of them begins, and the others fit into what the connection has.
+    answer(*calls.remove(0), "done");
+    assert_eq!(caller.response().status, 200);
+    calls.push(listener.call());
+    drop(filler);
+
+    let mut other = listener.connect();
+    let head = format!(
+        "POST /write/large HTTP/1.1\r\nhost: x\r\ncontent-length: {LARGE_BYTES}\r\n\
+         pollenrouter-deadline-ms: 60000\r\n\r\n"
+    );
+    other.send(&head);
+    other.send(&"x".repeat(LARGE_BYTES));
+    match listener.events.recv_timeout(HELD_MAX) {
+        Ok(Event::Call(call)) => answer(*call, "done"),
+        // The listener refuses the request itself.
+        _ => {}
+    }
+    assert_eq!(other.response().status, 200, "{memory:?}");
+}
