--- a/crates/dev/tests/hostile/answers.rs
+++ b/crates/dev/tests/hostile/answers.rs
@@ -74,6 +74,27 @@
     site.check_large("after ordinary callers beside long answers");
 }
 
+/// Guards against one caller that takes its answer, after whom answers that nobody takes keep the slots of
+/// the target again.
+#[test]
+fn ordinary_callers_beside_long_answers_of_which_one_is_taken() {
+    const RATE: usize = 8 << 10;
+    let site = Site::with_memory(TWO_ANSWERS_MB);
+    let request = request("GET /board/refresh", ANSWER_BYTES, LONG_DEADLINE_MS);
+    let mut reader = crowd::send(site.public(), 1, |stream| {
+        stream.write_all(request.as_bytes())
+    });
+    thread::sleep(SETTLES);
+    let reading = thread::spawn(move || crowd::read_slowly(&mut reader, RATE, LASTS + HUNG_AFTER));
+    let crowd = crowd::send(site.public(), CLIENTS, |stream| {
+        stream.write_all(request.as_bytes())
+    });
+    thread::sleep(LASTS);
+    site.check("ordinary callers beside long answers of which one is taken");
+    drop(crowd);
+    reading.join().expect("reader must end");
+}
+
 /// Guards against answers that pile up behind one that is not read.
 #[rstest]
 #[case::long(ANSWER_BYTES)]
