--- a/crates/caller/tests/listener/held.rs
+++ b/crates/caller/tests/listener/held.rs
@@ -123,3 +123,25 @@
     }
     assert_eq!(other.response().status, 200, "{memory:?}");
 }
+
+/// Guards against responses that wait for one before them, and hold memory for which others wait,
+/// for as long as the deadline that their caller has chosen.
+#[test]
+fn responses_behind_one_that_does_not_come_give_way() {
+    let memory = Memory::new(BUDGET_BYTES);
+    let listener = start(&memory);
+    // Serves, and has bounded the buffers of the connections to come.
+    assert!(listener.is_quiet());
+    let mut caller = listener.connect();
+    caller.send(&READ.repeat(2));
+    let (_first, second) = (listener.call(), listener.call());
+    let share = fill(&memory, Class::Answer, BUDGET_BYTES);
+    answer(*second, share.hold(vec![b'x'; BUDGET_BYTES as usize + 1]));
+
+    let end = Instant::now() + HELD_MAX;
+    let mut waiting = memory.share(Class::Answer);
+    while !waiting.try_grow(64 << 10) {
+        assert!(Instant::now() < end, "{memory:?}");
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
