--- a/crates/caller/tests/listener/held.rs
+++ b/crates/caller/tests/listener/held.rs
@@ -145,3 +145,57 @@
         thread::sleep(CHECK_INTERVAL);
     }
 }
+
+/// A connection whose system takes few bytes on its own, as that of a caller behind a slow link.
+fn connect_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None);
+    let socket = socket.expect("socket must open");
+    sockopt::set_socket_recv_buffer_size(&socket, 4 << 10).expect("option must be set");
+    net::connect(&socket, &address).expect("listener must accept");
+    TcpStream::from(socket)
+}
+
+/// Guards against callers that take responses at twice the speed at which they have to, and are
+/// closed as slow because their own systems buffer little.
+#[test]
+fn a_caller_at_an_ordinary_speed_with_a_small_buffer_is_not_closed() {
+    use std::io::Write;
+    const BODY_BYTES: usize = 2 << 20;
+    const LASTS: Duration = Duration::from_secs(16);
+
+    let memory = Memory::new(BODY_BYTES as u64);
+    let listener = start(&memory);
+    // Serves, and has bounded the buffers of the connections to come.
+    assert!(listener.is_quiet());
+    let mut caller = connect_with_small_buffer(listener.address);
+    caller
+        .set_read_timeout(Some(HELD_MAX))
+        .expect("timeout must be valid");
+    caller
+        .write_all(READ.as_bytes())
+        .expect("listener must take the request");
+    let call = listener.call();
+    let share = fill(&memory, Class::Answer, BODY_BYTES as u64);
+    answer(*call, share.hold(vec![b'x'; BODY_BYTES + 1]));
+    let mut waiting = memory.share(Class::Answer);
+
+    let rate = 2 * usize::try_from(SLOW_BYTES_PER_S).expect("rate must fit");
+    let mut buf = vec![0; rate / 10];
+    let start = Instant::now();
+    let mut taken = 0;
+    while start.elapsed() < LASTS {
+        assert!(
+            !waiting.try_grow(1),
+            "closed after {taken} bytes and {:?}: {memory:?}",
+            start.elapsed()
+        );
+        let read = caller.read_exact(&mut buf);
+        taken += buf.len();
+        assert!(
+            read.is_ok(),
+            "{read:?} after {taken} bytes and {:?}",
+            start.elapsed()
+        );
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
