--- a/crates/dev/tests/hostile/answers.rs
+++ b/crates/dev/tests/hostile/answers.rs
@@ -95,6 +95,28 @@
     reading.join().expect("reader must end");
 }
 
+/// Guards against callers that take nothing and come one after the other, so that their answers give way one
+/// after the other and those that wait keep the slots of the target.
+#[test]
+fn ordinary_callers_beside_long_answers_that_end_in_turn() {
+    let site = Site::with_memory(TWO_ANSWERS_MB);
+    let request = request("GET /board/refresh", ANSWER_BYTES, LONG_DEADLINE_MS);
+    let send = |clients| {
+        crowd::send(site.public(), clients, |stream| {
+            stream.write_all(request.as_bytes())
+        })
+    };
+    let mut first = Vec::new();
+    for _ in 0..HELD_AT_A_TIME {
+        first.extend(send(1));
+        thread::sleep(SETTLES);
+    }
+    let crowd = send(CLIENTS);
+    thread::sleep(LASTS);
+    site.check("ordinary callers beside long answers that end in turn");
+    drop((first, crowd));
+}
+
 /// Guards against answers that pile up behind one that is not read.
 #[rstest]
 #[case::long(ANSWER_BYTES)]
