Count the copies of short responses in the memory budget

Cause: responses up to 16 KiB are copied into the output of a connection. The share of the body ended with the body and the copy stayed, up to 256 KiB for each connection, in no account. So memory was never short, and nobody gave way.

Why it works: buffers of copies are fixed in size once handed over, so their memory is known; a share of the answers holds it from 4 KiB on until it is written, also over the budget, since the bytes exist. The same share asks for room for one more small response. Without it, no further request begins on the connection, and the share waits like any other: whoever overdraws the budget makes it short, so slow takers give way. A taker is therefore known from 4 KiB on, not 32 KiB. Responses that are taken at once leave no share, and no new buffer over 4 KiB is kept.

Not counted as before: complete responses up to 4 KiB behind one that does not come, at most eight for a connection.

--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -73,7 +73,7 @@
         if pipeline.has_ended() {
             return Ok(pipeline.lingers || !pipeline.input.is_empty());
         }
-        let room = pipeline.is_blocked().then(|| pipeline.memory.room());
+        let room = pipeline.waits_for_room().then(|| pipeline.memory.room());
         if room.is_some() {
             // Room that was given since the attempt above would not be noticed.
             pipeline.advance();
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -3,6 +3,7 @@
 
 mod deadlines;
 mod read_ahead;
+mod unsent;
 
 use std::cell::Cell;
 use std::fmt;
@@ -36,9 +37,6 @@
 pub const READ_AHEAD_MAX_BYTES: usize = 32 << 10;
 /// While requests at work and unsent responses hold more bytes, no further request begins.
 pub const HELD_MAX_BYTES: usize = 256 << 10;
-/// Unsent bytes of responses from which a caller that takes them too slowly gives way if memory is
-/// short.
-const LARGE_OUTPUT_BYTES: usize = 32 << 10;
 /// Size of the system's buffers for each direction of a connection, bytes; the system doubles it.
 /// Larger ones would take memory of the host, and would hide for seconds how fast a caller takes a
 /// response. A round trip of 10 ms still permits 200 Mbit/s.
@@ -98,7 +96,8 @@
     /// Bytes of the request bodies at work and of the responses that are not encoded yet.
     held_bytes: Rc<Cell<usize>>,
     pub(crate) output: Output,
-    /// The caller, while it has more than [`LARGE_OUTPUT_BYTES`] to take.
+    unsent: unsent::Unsent,
+    /// The caller, from more than [`unsent::SMALL_BYTES`] on until it has taken all.
     taker: Option<Party>,
     /// Whether no further request is read.
     is_closing: bool,
@@ -136,6 +135,7 @@
             is_exclusive: false,
             held_bytes: Rc::default(),
             output: Output::default(),
+            unsent: unsent::Unsent::default(),
             taker: None,
             is_closing: false,
             lingers: false,
@@ -160,6 +160,12 @@
         self.read_ahead.is_blocked() || receiving.is_some_and(|r| r.decoder.is_blocked())
     }
 
+    /// Whether anything waits for memory: reading, or the next request.
+    #[must_use]
+    pub fn waits_for_room(&self) -> bool {
+        self.is_blocked() || self.unsent.is_blocked()
+    }
+
     /// Whether the last response has been written.
     #[must_use]
     pub fn has_ended(&self) -> bool {
@@ -173,10 +179,16 @@
     /// Parses what has arrived, begins the requests that may begin, and takes memory for what is
     /// read next.
     pub fn advance(&mut self) {
+        self.count_unsent();
         self.parse();
         self.read_ahead.reserve(self.input.len(), &self.memory);
     }
 
+    fn count_unsent(&mut self) {
+        let held = self.output.buffer_bytes();
+        self.unsent.reserve(held, &self.memory);
+    }
+
     fn parse(&mut self) {
         loop {
             self.begin_waiting();
@@ -201,7 +213,7 @@
     /// Whether there is room for another request.
     fn has_room(&self) -> bool {
         let held = self.held_bytes.get() + self.output.len();
-        self.at_work.len() < AT_WORK_MAX && held < HELD_MAX_BYTES
+        self.at_work.len() < AT_WORK_MAX && held < HELD_MAX_BYTES && !self.unsent.is_blocked()
     }
 
     /// Parses the next head; returns whether it was complete.
@@ -356,7 +368,8 @@
         self.is_exclusive &= !self.at_work.is_empty();
         let is_last = self.is_closing && !self.has_requests();
         encode::response(&mut self.output, response, *to_head_request, is_last);
-        if self.output.len() > LARGE_OUTPUT_BYTES && self.taker.is_none() {
+        let unsent = self.output.len().max(self.output.buffer_bytes());
+        if unsent > unsent::SMALL_BYTES && self.taker.is_none() {
             let buffered = 2 * SOCKET_BUFFER_BYTES + CALLER_BUFFER_BYTES;
             self.taker = Some(self.memory.taker(Class::Answer, buffered));
         }
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -204,6 +204,21 @@
         }
     }
 
+    /// Counts `total` bytes that are held already, whether there is room for them or not.
+    pub fn grow_unconditionally(&mut self, total: u64) {
+        let more = total.saturating_sub(self.bytes);
+        if more > 0 {
+            self.memory.budget().take_unconditionally(self.class, more);
+            self.bytes = total;
+        }
+    }
+
+    /// Ends the wait for room.
+    pub fn stop_waiting(&self) {
+        let now = self.memory.now();
+        self.memory.budget().stop_waiting(now, self.class, self.id);
+    }
+
     /// Gives back all but `total` bytes.
     pub fn shrink(&mut self, total: u64) {
         let less = self.bytes.saturating_sub(total);
@@ -223,9 +238,7 @@
     /// Binds the share to a body: it is given back when the last copy of the body is dropped.
     #[must_use]
     pub fn hold(mut self, body: Vec<u8>) -> Bytes {
-        self.memory
-            .budget()
-            .stop_waiting(self.memory.now(), self.class, self.id);
+        self.stop_waiting();
         self.shrink(body.capacity() as u64);
         Bytes::from_owner(Held { body, _share: self })
     }
