Let shares that need no more memory stop waiting for it

Callers whose bodies are over 4 KiB got 503 on a host with memory to spare: a connection that had read ahead and waited for room kept its place before all newer shares, after an earlier request of it had ended and what was left fitted into the room that it had. It kept it until its requests ended.

Cause: Share::try_grow returned true when there was nothing to add, and left the share among those that wait. Budget::take lets only the first of these have room.

Budget::take now ends the wait of a share that takes nothing more, and Share::try_grow calls it when the share waits, and notifies those behind it, which may find room.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -157,8 +157,12 @@
     }
 
     /// Takes `bytes` more for a share; if there is no room, the share waits until a later call
-    /// succeeds or [`Self::close`] is called.
+    /// succeeds or [`Self::close`] is called. A share that takes nothing more does not wait.
     pub fn take(&mut self, now: Duration, class: Class, id: Id, bytes: u64) -> bool {
+        if bytes == 0 {
+            self.stop_waiting(now, class, id);
+            return true;
+        }
         let fits = self.fits(class, bytes);
         let usage = &mut self.usage[class.index()];
         let is_first = usage.waiting.keys().next().is_none_or(|first| id <= *first);
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -21,6 +21,8 @@
     Open(bool, bool),
     Grow(usize, u64),
     Shrink(usize, u64),
+    /// A share that waits comes to want no more than it holds.
+    WantLess(usize),
     Close(usize),
     Move(usize, u64),
     Wait(u64),
@@ -45,6 +47,7 @@
         (any::<bool>(), any::<bool>()).prop_map(|(class, party)| Step::Open(class, party)),
         (any::<usize>(), 1..SHARE_MAX).prop_map(|(at, to)| Step::Grow(at, to)),
         (any::<usize>(), 1..SHARE_MAX).prop_map(|(at, by)| Step::Shrink(at, by)),
+        any::<usize>().prop_map(Step::WantLess),
         any::<usize>().prop_map(Step::Close),
         (any::<usize>(), 1..100_000_u64).prop_map(|(at, bytes)| Step::Move(at, bytes)),
         (1..4000_u64).prop_map(Step::Wait),
@@ -99,6 +102,13 @@
                     }
                 }
             }
+            Step::WantLess(at) => {
+                let id = self.pick(at);
+                if let Some((id, share)) = id.and_then(|id| Some((id, self.shares.get_mut(&id)?))) {
+                    share.wanted = share.bytes;
+                    assert!(self.budget.take(self.now, share.class, id, 0));
+                }
+            }
             Step::Close(at) => {
                 if let Some(id) = self.pick(at) {
                     self.close(id);
--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -86,6 +86,7 @@
             class,
             id,
             bytes: 0,
+            is_waiting: false,
         }
     }
 
@@ -142,6 +143,7 @@
     class: Class,
     id: Id,
     bytes: u64,
+    is_waiting: bool,
 }
 
 impl Share {
@@ -158,17 +160,23 @@
     }
 
     /// Takes room for `total` bytes if there is any; else the share waits for it. A share that
-    /// holds more keeps it.
+    /// holds as much keeps it, and does not wait any more.
     pub fn try_grow(&mut self, total: u64) -> bool {
         let more = total.saturating_sub(self.bytes);
-        if more == 0 {
+        if more == 0 && !self.is_waiting {
             return true;
         }
         let now = self.memory.now();
         let taken = self.memory.budget().take(now, self.class, self.id, more);
+        let has_stopped = taken && more == 0;
+        self.is_waiting = !taken;
         if taken {
             self.bytes += more;
         }
+        if has_stopped {
+            // Those that waited behind this share may find room.
+            self.memory.0.room.notify_waiters();
+        }
         taken
     }
 
