Report answers that wait for memory at their deadline as not kept

Callers with short deadlines saw a healthy target avoided: an answer that waited for room, or for its turn to be read, until its deadline was reported as Lost, and counted as a failure of the target.

Cause: body::read_until reported every passed deadline as Timeout, also where the daemon itself did not read on.

collect now marks while it waits for a permit or for room, and read_until reports NoRoom if the deadline passes then; the sender makes NotKept of it as before.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,5 +1,6 @@
 //! Reads complete bodies within limits of size, time and memory.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -75,7 +76,8 @@
 /// Returns a [`BodyError`] if the body is larger than `limit` bytes, takes longer than
 /// `timeout`, or is incomplete.
 pub async fn read(body: Incoming, limit: u64, timeout: Duration) -> Result<Bytes, BodyError> {
-    let reading = time::timeout(timeout, collect(body, limit, None));
+    let is_waiting = Cell::default();
+    let reading = time::timeout(timeout, collect(body, limit, None, &is_waiting));
     reading.await.unwrap_or(Err(BodyError::Timeout(timeout)))
 }
 
@@ -83,7 +85,8 @@
 ///
 /// # Errors
 /// Returns a [`BodyError`] if the body is larger than `limit` bytes, is not complete at
-/// `deadline`, or is incomplete.
+/// `deadline`, or is incomplete; [`BodyError::NoRoom`] if it waits for memory or for others at
+/// `deadline`, since the other side could not send on.
 pub async fn read_until(
     body: Incoming,
     limit: u64,
@@ -91,16 +94,25 @@
     memory: &Memory,
 ) -> Result<Bytes, BodyError> {
     let timeout = deadline.saturating_duration_since(Instant::now());
-    let reading = time::timeout_at(deadline, collect(body, limit, Some(memory)));
-    reading.await.unwrap_or(Err(BodyError::Timeout(timeout)))
+    let is_waiting = Cell::default();
+    let collecting = collect(body, limit, Some(memory), &is_waiting);
+    let result = time::timeout_at(deadline, collecting).await;
+    result.unwrap_or_else(|_| {
+        Err(if is_waiting.get() {
+            BodyError::NoRoom
+        } else {
+            BodyError::Timeout(timeout)
+        })
+    })
 }
 
 /// Copies the body into one buffer. The frames are not kept, because each may hold a buffer that
-/// is many times its size.
+/// is many times its size. `is_waiting` is set while the body waits for memory or for others.
 async fn collect(
     mut body: Incoming,
     limit: u64,
     memory: Option<&Memory>,
+    is_waiting: &Cell<bool>,
 ) -> Result<Bytes, BodyError> {
     let hint = body.size_hint();
     if hint.lower() > limit {
@@ -118,6 +130,7 @@
         if len > limit {
             return Err(BodyError::TooLarge(limit));
         }
+        is_waiting.set(true);
         // The semaphores are never closed.
         if len > SMALL_MAX_BYTES
             && medium.is_none()
@@ -143,6 +156,7 @@
                 return Err(BodyError::NoRoom);
             }
         }
+        is_waiting.set(false);
         collected.extend_from_slice(&data);
     }
     collected.shrink_to_fit();
